--- /dev/null
+++ b/crates/fakes/src/hosts.rs
@@ -0,0 +1,50 @@
+//! The host list, which shows each change only after a lag.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use platform::{Entry, Error};
+use tokio::time::Instant;
+
+/// A host list that is changed by its owner and read by nodes.
+#[derive(Clone)]
+pub struct Hosts {
+    versions: Arc<Mutex<Vec<(Instant, Vec<Entry>)>>>,
+    lag: Duration,
+}
+
+impl Hosts {
+    /// An empty list that shows changes after `lag`.
+    #[must_use]
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            versions: Arc::default(),
+            lag,
+        }
+    }
+
+    /// Sets the true list; readers see it after the lag.
+    pub fn set(&self, entries: Vec<Entry>) {
+        self.versions.lock().push((Instant::now(), entries));
+    }
+
+    fn visible(&self) -> Vec<Entry> {
+        let mut versions = self.versions.lock();
+        let now = Instant::now();
+        let shown = versions.iter().rposition(|(at, _)| *at + self.lag <= now);
+        if let Some(index) = shown {
+            versions.drain(..index);
+            return versions[0].1.clone();
+        }
+        Vec::new()
+    }
+}
+
+#[async_trait]
+impl platform::Hosts for Hosts {
+    async fn list(&self) -> Result<Vec<Entry>, Error> {
+        Ok(self.visible())
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,115 @@
+//! All stand-ins of the platform behind one HTTP address.
+
+use std::io;
+use std::time::Duration;
+
+use platform::{Error, Hosts as _, Log as _, Weights as _};
+use volo_http::body::BodyConversion;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, get, post};
+
+use crate::hosts::Hosts;
+use crate::log::Log;
+use crate::server::{Server, error, json, query};
+use crate::weights::Weights;
+
+/// The platform's services.
+#[derive(Clone)]
+pub struct Platform {
+    /// The log.
+    pub log: Log,
+    /// The host list.
+    pub hosts: Hosts,
+    /// The weight store.
+    pub weights: Weights,
+}
+
+impl Platform {
+    /// A platform with the rates of a small installation.
+    #[must_use]
+    pub fn new() -> Self {
+        const RETENTION: usize = 100_000;
+        const APPENDS_PER_SECOND: f64 = 400.0;
+        Self {
+            log: Log::new(RETENTION, APPENDS_PER_SECOND),
+            hosts: Hosts::new(Duration::from_millis(500)),
+            weights: Weights::new(2, Duration::from_millis(500)),
+        }
+    }
+
+    /// Starts the HTTP server on `port`, or on any free port for 0.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the port cannot be bound.
+    pub async fn serve(&self, port: u16) -> io::Result<Server> {
+        let records = {
+            let (append, read) = (self.clone(), self.clone());
+            post(move |path: PathParams<String>, request: Request| append.append(path.0, request))
+                .get(move |path: PathParams<String>, request: Request| read.read(path.0, request))
+        };
+        let (hosts, weights) = (self.clone(), self.clone());
+        let router = Router::new()
+            .route("/v1/streams/{stream}/records", records)
+            .route("/v1/hosts", get(move || hosts.list_hosts()))
+            .route("/v1/weights/load", get(move || weights.weights_load()));
+        Server::start(router, port).await
+    }
+
+    async fn append(self, stream: String, request: Request) -> Response {
+        let Ok(body) = request.into_body().into_vec().await else {
+            return error(400, "the body did not arrive whole");
+        };
+        let Ok(append) = serde_json::from_slice::<AppendBody>(&body) else {
+            return error(400, "the body is not {\"data\": TEXT}");
+        };
+        match self.log.append(&stream, &append.data).await {
+            Ok(offset) => json(200, &serde_json::json!({ "offset": offset })),
+            Err(Error::Rejected(reason)) => error(503, &reason),
+            Err(Error::Uncertain(_)) => hang().await,
+        }
+    }
+
+    async fn read(self, stream: String, request: Request) -> Response {
+        let from = query(request.uri(), "from").unwrap_or(0);
+        let wait = query(request.uri(), "wait_ms").unwrap_or(0);
+        match self.log.read(&stream, from, Duration::from_millis(wait)).await {
+            Ok(batch) => json(200, &batch),
+            Err(reason) => error(503, &reason.to_string()),
+        }
+    }
+
+    async fn list_hosts(self) -> Response {
+        match self.hosts.list().await {
+            Ok(hosts) => json(200, &hosts),
+            Err(reason) => error(503, &reason.to_string()),
+        }
+    }
+
+    async fn weights_load(self) -> Response {
+        match self.weights.load().await {
+            Ok(load) => json(200, &load),
+            Err(reason) => error(503, &reason.to_string()),
+        }
+    }
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct AppendBody {
+    data: String,
+}
+
+/// Leaves the caller without an answer until it gives up.
+async fn hang() -> Response {
+    const LONGER_THAN_ANY_LIMIT: Duration = Duration::from_secs(30);
+    tokio::time::sleep(LONGER_THAN_ANY_LIMIT).await;
+    error(504, "the acknowledgement was lost")
+}
--- /dev/null
+++ b/crates/fakes/src/service.rs
@@ -0,0 +1,87 @@
+//! A plain service that counts the executions of each idempotency key.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use volo_http::body::BodyConversion;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, post};
+
+use crate::server::{Server, error, json};
+
+/// Faults of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Calls take effect and are never answered.
+    pub swallow: bool,
+    /// Calls are answered after this much longer.
+    pub delay: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    executions: BTreeMap<String, u32>,
+    faults: Faults,
+}
+
+/// A plain service.
+#[derive(Clone, Default)]
+pub struct Service {
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// Sets the faults from now on.
+    pub fn inject(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// How often each key was executed.
+    #[must_use]
+    pub fn executions(&self) -> BTreeMap<String, u32> {
+        self.state.lock().executions.clone()
+    }
+
+    /// Starts the HTTP server on any free port.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the port cannot be bound.
+    pub async fn serve(&self) -> io::Result<Server> {
+        let service = self.clone();
+        let call = move |path: PathParams<String>, request: Request| service.call(path.0, request);
+        Server::start(Router::new().route("/v1/calls/{call}", post(call)), 0).await
+    }
+
+    async fn call(self, call: String, request: Request) -> Response {
+        let key = request
+            .headers()
+            .get("idempotency-key")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let Ok(body) = request.into_body().into_string().await else {
+            return error(400, "the body did not arrive whole");
+        };
+        let (count, faults) = self.execute(&key);
+        if faults.swallow {
+            const LONGER_THAN_ANY_LIMIT: Duration = Duration::from_secs(30);
+            tokio::time::sleep(LONGER_THAN_ANY_LIMIT).await;
+        }
+        tokio::time::sleep(faults.delay).await;
+        json(200, &serde_json::json!({ "call": call, "key": key, "execution": count, "echo": body }))
+    }
+
+    fn execute(&self, key: &str) -> (u32, Faults) {
+        let mut state = self.state.lock();
+        let faults = state.faults;
+        let count = state.executions.entry(key.to_owned()).or_default();
+        *count += 1;
+        (*count, faults)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/attempt.rs
@@ -0,0 +1,112 @@
+//! What to do after an attempt ended without a whole answer.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+
+use crate::clock::Instant;
+use crate::outcome::{Outcome, Refusal};
+use crate::retry::{self, Budget};
+
+/// Attempts of one request, the first included.
+const MOST_ATTEMPTS: u32 = 6;
+
+/// Why an attempt ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The endpoint refused the attempt before it took any work.
+    Refused,
+    /// The connection could not be made.
+    Unreachable,
+    /// The connection broke.
+    Broken,
+    /// No progress arrived within the bound.
+    Silent,
+    /// The answer ended without its end marker or with a gap.
+    Truncated,
+}
+
+impl Fault {
+    /// The word used in journals and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Truncated => "truncated",
+        }
+    }
+}
+
+/// The next step of a request.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    /// Try again after the wait.
+    Retry(Duration),
+    /// End the request.
+    End(Refusal),
+}
+
+/// The attempts of one idempotent request.
+#[derive(Debug)]
+pub struct Plan {
+    deadline: Instant,
+    attempts: u32,
+}
+
+impl Plan {
+    /// A plan without attempts that ends at `deadline`.
+    #[must_use]
+    pub const fn new(deadline: Instant) -> Self {
+        Self {
+            deadline,
+            attempts: 0,
+        }
+    }
+
+    /// Starts the next attempt and returns its number, from one.
+    pub fn start(&mut self, budget: &mut Budget) -> u32 {
+        if self.attempts == 0 {
+            budget.deposit();
+        }
+        self.attempts += 1;
+        self.attempts
+    }
+
+    /// Decides what follows `fault`.
+    pub fn after(
+        &self,
+        now: Instant,
+        fault: Fault,
+        budget: &mut Budget,
+        random: &mut SmallRng,
+    ) -> Step {
+        let wait = retry::backoff(self.attempts, random);
+        if now + wait >= self.deadline {
+            return Step::End(Refusal::TimedOut(Outcome::Failed));
+        }
+        if self.attempts >= MOST_ATTEMPTS || !budget.withdraw() {
+            return Step::End(Refusal::Exhausted(self.attempts, fault.as_str().to_owned()));
+        }
+        Step::Retry(wait)
+    }
+}
+
+/// Longest silence before the first token for a prompt with `floor` of predicted prefill.
+///
+/// A connection that is silent for longer is replaced while there is still time for another try.
+#[must_use]
+pub fn first_token_bound(floor: Duration, remaining: Duration) -> Duration {
+    const LEAST: Duration = Duration::from_secs(2);
+    const FLOORS: u32 = 4;
+    floor.saturating_mul(FLOORS).max(LEAST).min(remaining)
+}
+
+/// Longest silence between two tokens.
+#[must_use]
+pub fn next_token_bound(remaining: Duration) -> Duration {
+    const MOST: Duration = Duration::from_secs(2);
+    MOST.min(remaining)
+}
--- /dev/null
+++ b/crates/kernel/src/fold.rs
@@ -0,0 +1,317 @@
+//! The lists in force: one deterministic fold over the records of the log.
+//!
+//! Every node folds the same records in the same order, so all agree which of two conflicting
+//! changes was accepted. Readers apply updates in the log's order (ordered updates, ORDUP, in Pu
+//! and Leff, "Replica Control in Distributed Systems: An Asynchronous Approach", 1991), and a
+//! state from a peer is only ever newer than the own one, so a list never reverts.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::lists::{Change, Edit, Plans, Usage, check_plans, check_usage};
+use crate::resume::tag;
+
+/// Verdicts kept so that a repeated publish learns its outcome.
+const VERDICTS: usize = 4_096;
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "verdict", rename_all = "snake_case")]
+pub enum Verdict {
+    /// In force as this version.
+    Accepted {
+        /// The list's new version.
+        version: u64,
+    },
+    /// Made against a version that was not the newest.
+    Conflict {
+        /// The version that was in force.
+        current: u64,
+    },
+    /// Not a change that can be served.
+    Invalid {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// What one record did to the fold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// A change with this identifier was decided.
+    Decided(String, Verdict),
+    /// A snapshot was installed; reading goes on after what it covers.
+    Installed,
+    /// The record changed nothing: seen before, or not needed.
+    Nothing,
+    /// The record is garbage and was skipped, as at every other node.
+    Skipped(String),
+}
+
+/// The folded lists up to an offset.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// The first offset that is not folded.
+    pub next: u64,
+    /// Version of the plan list: one more than its record's offset, or 0.
+    pub plans_version: u64,
+    /// The plan list.
+    pub plans: Plans,
+    /// Version of the usage list.
+    pub usage_version: u64,
+    /// The usage list.
+    pub usage: Usage,
+    verdicts: BTreeMap<String, Verdict>,
+    verdict_order: VecDeque<String>,
+}
+
+impl State {
+    /// What became of the change `id`, if it is remembered.
+    #[must_use]
+    pub fn verdict(&self, id: &str) -> Option<&Verdict> {
+        self.verdicts.get(id)
+    }
+
+    /// Whether both lists have been published.
+    #[must_use]
+    pub const fn complete(&self) -> bool {
+        self.plans_version > 0 && self.usage_version > 0
+    }
+
+    fn decide(&mut self, offset: u64, change: &Change) -> Verdict {
+        if let Some(verdict) = self.verdicts.get(change.id.as_str()) {
+            return verdict.clone();
+        }
+        let verdict = self.judge(offset, change);
+        self.remember(change.id.as_str(), verdict.clone());
+        verdict
+    }
+
+    fn judge(&mut self, offset: u64, change: &Change) -> Verdict {
+        let current = match change.edit {
+            Edit::ReplacePlans(_) | Edit::PutPlans(_) => self.plans_version,
+            Edit::ReplaceUsage(_) | Edit::PutUsage(_) => self.usage_version,
+        };
+        if change.base != current {
+            return Verdict::Conflict { current };
+        }
+        let version = offset + 1;
+        let outcome = match &change.edit {
+            Edit::ReplacePlans(plans) => self.set_plans(plans.clone(), version),
+            Edit::PutPlans(plans) => self.set_plans(merge_plans(&self.plans, plans), version),
+            Edit::ReplaceUsage(usage) => self.set_usage(usage.clone(), version),
+            Edit::PutUsage(usage) => self.set_usage(merge_usage(&self.usage, usage), version),
+        };
+        match outcome {
+            Ok(()) => Verdict::Accepted { version },
+            Err(reason) => Verdict::Invalid { reason },
+        }
+    }
+
+    fn set_plans(&mut self, plans: Plans, version: u64) -> Result<(), String> {
+        refuse_problems(&check_plans(&plans))?;
+        self.plans = plans;
+        self.plans_version = version;
+        Ok(())
+    }
+
+    fn set_usage(&mut self, usage: Usage, version: u64) -> Result<(), String> {
+        refuse_problems(&check_usage(&usage))?;
+        self.usage = usage;
+        self.usage_version = version;
+        Ok(())
+    }
+
+    fn remember(&mut self, id: &str, verdict: Verdict) {
+        self.verdicts.insert(id.to_owned(), verdict);
+        self.verdict_order.push_back(id.to_owned());
+        if self.verdict_order.len() > VERDICTS
+            && let Some(oldest) = self.verdict_order.pop_front()
+        {
+            self.verdicts.remove(&oldest);
+        }
+    }
+}
+
+fn refuse_problems(problems: &[crate::lists::Problem]) -> Result<(), String> {
+    if problems.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    Err(lines.join("; "))
+}
+
+fn merge_plans(old: &Plans, put: &Plans) -> Plans {
+    let workspaces = merge(&old.workspaces, &put.workspaces, |plan| {
+        plan.workspace.as_str()
+    });
+    Plans { workspaces }
+}
+
+fn merge_usage(old: &Usage, put: &Usage) -> Usage {
+    Usage {
+        models: merge(&old.models, &put.models, |model| model.name.as_str()),
+        endpoints: merge(&old.endpoints, &put.endpoints, |entry| entry.name.as_str()),
+        services: merge(&old.services, &put.services, |service| {
+            service.name.as_str()
+        }),
+    }
+}
+
+fn merge<T: Clone>(old: &[T], put: &[T], name: impl Fn(&T) -> &str) -> Vec<T> {
+    let kept = old
+        .iter()
+        .filter(|item| put.iter().all(|other| name(other) != name(item)));
+    kept.chain(put).cloned().collect()
+}
+
+/// A record of the lists stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Record {
+    Change(Change),
+    Snapshot { state: String, tag: String },
+}
+
+/// The record that publishes `change`.
+///
+/// # Panics
+///
+/// Never: a change always has a JSON form.
+#[must_use]
+pub fn change_record(change: &Change) -> String {
+    serde_json::to_string(&Record::Change(change.clone())).expect("a change has a JSON form")
+}
+
+/// Folds the lists stream of the log.
+#[derive(Clone, Debug)]
+pub struct Fold {
+    key: Vec<u8>,
+    state: State,
+    /// Where the search for a snapshot has come to, after retention dropped needed records.
+    scanning: Option<u64>,
+    last_snapshot: u64,
+}
+
+impl Fold {
+    /// A fold that has read nothing. `key` authenticates snapshots.
+    #[must_use]
+    pub fn new(key: &[u8]) -> Self {
+        Self {
+            key: key.to_vec(),
+            state: State::default(),
+            scanning: None,
+            last_snapshot: 0,
+        }
+    }
+
+    /// The lists as folded so far.
+    #[must_use]
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The offset to read next.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.scanning.unwrap_or(self.state.next)
+    }
+
+    /// Takes note that the log now starts at `first`.
+    pub fn retained_from(&mut self, first: u64) {
+        if first > self.position() {
+            self.scanning = Some(first);
+        }
+    }
+
+    /// Applies the record at `offset`.
+    pub fn apply(&mut self, offset: u64, record: &str) -> Effect {
+        if offset != self.position() {
+            return Effect::Nothing;
+        }
+        match self.scanning {
+            Some(_) => self.scan(offset, record),
+            None => self.advance(offset, record),
+        }
+    }
+
+    fn scan(&mut self, offset: u64, record: &str) -> Effect {
+        self.scanning = Some(offset + 1);
+        if let Ok(Record::Snapshot { state, tag }) = serde_json::from_str(record)
+            && let Some(state) = self.open(&state, &tag)
+            && self.install(state)
+        {
+            return Effect::Installed;
+        }
+        Effect::Nothing
+    }
+
+    fn advance(&mut self, offset: u64, record: &str) -> Effect {
+        self.state.next = offset + 1;
+        match serde_json::from_str(record) {
+            Ok(Record::Change(change)) => {
+                let verdict = self.state.decide(offset, &change);
+                Effect::Decided(change.id.to_string(), verdict)
+            }
+            Ok(Record::Snapshot { state, tag }) => {
+                if self.open(&state, &tag).is_some() {
+                    self.last_snapshot = offset;
+                }
+                Effect::Nothing
+            }
+            Err(error) => Effect::Skipped(error.to_string()),
+        }
+    }
+
+    fn open(&self, state: &str, given: &str) -> Option<State> {
+        use subtle::ConstantTimeEq;
+        let expected = hex::encode(tag(&self.key, state.as_bytes()));
+        let genuine: bool = expected.as_bytes().ct_eq(given.as_bytes()).into();
+        genuine.then(|| serde_json::from_str(state).ok())?
+    }
+
+    /// Installs a newer state, from a snapshot or from a peer; returns false for an older one.
+    pub fn install(&mut self, state: State) -> bool {
+        if state.next <= self.state.next {
+            return false;
+        }
+        assert!(
+            state.plans_version >= self.state.plans_version
+                && state.usage_version >= self.state.usage_version,
+            "a newer state never holds an older list"
+        );
+        self.state = state;
+        self.scanning = None;
+        true
+    }
+
+    /// A snapshot record, when the last one is about to fall out of the log's retention.
+    ///
+    /// `first` and `end` are the log's first and next offset.
+    ///
+    /// # Panics
+    ///
+    /// Never: a state always has a JSON form.
+    #[must_use]
+    pub fn snapshot_due(&self, first: u64, end: u64) -> Option<String> {
+        const HALF: u64 = 2;
+        let oldest_needed = self.last_snapshot;
+        let retained = end.saturating_sub(first);
+        let age = end.saturating_sub(oldest_needed);
+        let current = self.scanning.is_none() && self.state.next >= end;
+        if !current || !self.state.complete() || (first == 0 && retained < SNAPSHOT_EVERY) {
+            return None;
+        }
+        if oldest_needed >= first && age < SNAPSHOT_EVERY.max(retained / HALF) {
+            return None;
+        }
+        let state = serde_json::to_string(&self.state).expect("a state has a JSON form");
+        let tag = hex::encode(tag(&self.key, state.as_bytes()));
+        let record = Record::Snapshot { state, tag };
+        Some(serde_json::to_string(&record).expect("a snapshot has a JSON form"))
+    }
+}
+
+/// Records between two snapshots while the log keeps everything.
+const SNAPSHOT_EVERY: u64 = 512;
--- /dev/null
+++ b/crates/kernel/src/journal.rs
@@ -0,0 +1,59 @@
+//! A bounded record of decisions with their reasons, for `filbertctl explain`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::request;
+
+/// Requests whose decisions are kept.
+const REQUESTS: usize = 4_096;
+/// Decisions kept for one request.
+const DECISIONS: usize = 64;
+
+/// One decision on a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// When it was taken.
+    pub at: Instant,
+    /// Event name, such as `admitted`.
+    pub event: String,
+    /// The reason, with its numbers.
+    pub reason: String,
+}
+
+/// The decisions on the requests that a node saw last.
+#[derive(Debug, Default)]
+pub struct Journal {
+    entries: BTreeMap<request::Id, Vec<Entry>>,
+    order: VecDeque<request::Id>,
+}
+
+impl Journal {
+    /// Records a decision and drops the oldest request when the journal is full.
+    pub fn record(&mut self, now: Instant, id: request::Id, event: &str, reason: String) {
+        let entries = self.entries.entry(id).or_insert_with(|| {
+            self.order.push_back(id);
+            Vec::new()
+        });
+        if entries.len() < DECISIONS {
+            entries.push(Entry {
+                at: now,
+                event: event.to_owned(),
+                reason,
+            });
+        }
+        if self.order.len() > REQUESTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.entries.remove(&oldest);
+        }
+    }
+
+    /// The decisions on `id`, oldest first.
+    #[must_use]
+    pub fn entries(&self, id: request::Id) -> &[Entry] {
+        self.entries.get(&id).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lease.rs
@@ -0,0 +1,187 @@
+//! Leases on the log: who may give orders to endpoints.
+//!
+//! A lease record names the record that it replaces. The first record that replaces the current
+//! one holds the lease, and its offset is the fencing number, so fencing numbers only grow. A
+//! successor waits until the last renewal that it has read is older than the lease and the time of
+//! an order; the holder counts its lease from before it appended. No clocks are compared.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::name::Host;
+use crate::request::Incarnation;
+
+/// How long a lease lasts without renewal.
+pub const DURATION: Duration = Duration::from_secs(10);
+/// When the holder renews.
+pub const RENEW_AFTER: Duration = Duration::from_secs(3);
+/// The holder gives no order in the last part of its lease.
+pub const MARGIN: Duration = Duration::from_secs(3);
+/// Longest time that an order may take to arrive.
+pub const ORDER_TIME: Duration = Duration::from_secs(2);
+
+/// A record of the leases stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// What the lease is for.
+    pub name: String,
+    /// Who takes or renews it.
+    pub host: Host,
+    /// The holder's incarnation.
+    pub incarnation: Incarnation,
+    /// The fencing number that the record replaces or renews; 0 for the first.
+    pub after: u64,
+    /// Whether the record renews the holder's own lease.
+    pub renewal: bool,
+    /// When it was appended, by the appender's own clock; only the appender reads it.
+    pub appended: Instant,
+}
+
+/// A lease as folded from the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Who holds it.
+    pub host: Host,
+    /// The holder's incarnation.
+    pub incarnation: Incarnation,
+    /// The fencing number: the offset of the record that took the lease, plus one.
+    pub fence: u64,
+    /// When the last record of it was read.
+    pub read: Instant,
+    /// When that record was appended, by the holder's clock.
+    pub appended: Instant,
+}
+
+/// All leases, folded from the log.
+#[derive(Debug, Default)]
+pub struct Table {
+    next: u64,
+    leases: BTreeMap<String, Lease>,
+}
+
+impl Table {
+    /// The offset to read next.
+    #[must_use]
+    pub const fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Takes note that the log now starts at `first`.
+    pub fn retained_from(&mut self, first: u64) {
+        self.next = self.next.max(first);
+    }
+
+    /// Folds the record at `offset`, read at `now`.
+    pub fn apply(&mut self, now: Instant, offset: u64, record: &str) {
+        if offset < self.next {
+            return;
+        }
+        self.next = offset + 1;
+        let Ok(record) = serde_json::from_str::<Record>(record) else {
+            return;
+        };
+        let current = self.leases.get_mut(&record.name);
+        let fence = current.as_ref().map_or(0, |lease| lease.fence);
+        if record.after != fence {
+            return;
+        }
+        if record.renewal {
+            if let Some(lease) = current
+                && lease.incarnation == record.incarnation
+            {
+                lease.read = now;
+                lease.appended = record.appended;
+            }
+            return;
+        }
+        let lease = Lease {
+            host: record.host,
+            incarnation: record.incarnation,
+            fence: offset + 1,
+            read: now,
+            appended: record.appended,
+        };
+        self.leases.insert(record.name, lease);
+    }
+
+    /// The lease called `name`.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Lease> {
+        self.leases.get(name)
+    }
+
+    /// All leases by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Lease)> {
+        self.leases.iter()
+    }
+}
+
+/// What a candidate for a lease does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Append this record.
+    Append(Record),
+    /// Nothing for now.
+    Wait,
+}
+
+/// One node's side of one lease.
+#[derive(Debug)]
+pub struct Candidate {
+    name: String,
+    host: Host,
+    incarnation: Incarnation,
+    /// Fence and the moment before which the last record for it was appended.
+    held: Option<(u64, Instant)>,
+    appended: Option<Instant>,
+}
+
+impl Candidate {
+    /// A candidate for the lease `name`.
+    #[must_use]
+    pub fn new(name: &str, host: &Host, incarnation: Incarnation) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: host.clone(),
+            incarnation,
+            held: None,
+            appended: None,
+        }
+    }
+
+    /// Decides whether to take or renew the lease. A returned record counts as appended at `now`.
+    pub fn step(&mut self, now: Instant, table: &Table) -> Step {
+        let current = table.get(&self.name);
+        let own = current.filter(|lease| lease.incarnation == self.incarnation);
+        // The lease counts from before the append of the record that was read.
+        self.held = own.map(|lease| (lease.fence, lease.appended));
+        if self.appended.is_some_and(|at| at + RENEW_AFTER > now) {
+            return Step::Wait;
+        }
+        let fence = current.map_or(0, |lease| lease.fence);
+        let renewal = own.is_some();
+        let free = current.is_none_or(|lease| lease.read + DURATION + ORDER_TIME <= now);
+        if !renewal && !free {
+            return Step::Wait;
+        }
+        self.appended = Some(now);
+        Step::Append(Record {
+            name: self.name.clone(),
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            after: fence,
+            renewal,
+            appended: now,
+        })
+    }
+
+    /// The fencing number with which an order may be sent at `now`, if any.
+    #[must_use]
+    pub fn fence(&self, now: Instant) -> Option<u64> {
+        let (fence, from) = self.held?;
+        (now + MARGIN < from + DURATION).then_some(fence)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/ledger.rs
@@ -0,0 +1,118 @@
+//! What each attempt holds at endpoints, and the retried work of freeing it.
+//!
+//! An attempt is entered before its first byte is sent and leaves the ledger only when the
+//! endpoint has confirmed that it holds nothing for it, or when the endpoint is gone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::name::Endpoint;
+use crate::request::{Attempt, Incarnation};
+
+/// Wait before freeing is tried again.
+const RETRY: Duration = Duration::from_millis(200);
+/// Longest wait between two tries.
+const RETRY_LONGEST: Duration = Duration::from_secs(5);
+/// How long a holder must have been dead before its memory is swept.
+pub const SWEEP_GRACE: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Held,
+    Freeing { tries: u32, next: Instant },
+}
+
+/// Something that an endpoint holds for a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// Who holds it there.
+    pub holder: Incarnation,
+    /// The attempt it is held for.
+    pub attempt: Attempt,
+    /// Whether the holder's connection is open.
+    pub connected: bool,
+}
+
+/// Attempts that may hold memory at endpoints.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    entries: BTreeMap<(Endpoint, Attempt), State>,
+}
+
+impl Ledger {
+    /// Enters an attempt, before anything is sent for it.
+    pub fn hold(&mut self, endpoint: &Endpoint, attempt: Attempt) {
+        self.entries
+            .insert((endpoint.clone(), attempt), State::Held);
+    }
+
+    /// Starts freeing what an attempt holds; the first try is due at once.
+    pub fn release(&mut self, now: Instant, endpoint: &Endpoint, attempt: Attempt) {
+        if let Some(state) = self.entries.get_mut(&(endpoint.clone(), attempt))
+            && *state == State::Held
+        {
+            *state = State::Freeing {
+                tries: 0,
+                next: now,
+            };
+        }
+    }
+
+    /// Removes an attempt whose endpoint has confirmed that it holds nothing for it.
+    pub fn confirm(&mut self, endpoint: &Endpoint, attempt: Attempt) {
+        self.entries.remove(&(endpoint.clone(), attempt));
+    }
+
+    /// Removes everything at an endpoint that restarted or is gone for good.
+    pub fn forget_endpoint(&mut self, endpoint: &Endpoint) {
+        self.entries.retain(|(name, _), _| name != endpoint);
+    }
+
+    /// The attempts whose freeing is due, each to be tried once now.
+    pub fn due(&mut self, now: Instant) -> Vec<(Endpoint, Attempt)> {
+        let mut due = Vec::new();
+        for ((endpoint, attempt), state) in &mut self.entries {
+            if let State::Freeing { tries, next } = state
+                && *next <= now
+            {
+                let wait = RETRY
+                    .saturating_mul(1 << (*tries).min(8))
+                    .min(RETRY_LONGEST);
+                *tries += 1;
+                *next = now + wait;
+                due.push((endpoint.clone(), *attempt));
+            }
+        }
+        due
+    }
+
+    /// Attempts that are held or being freed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// Chooses what may be freed of the holdings that an endpoint lists.
+///
+/// `dead` tells for how long an incarnation has been known to be dead, and `None` for a live one.
+/// Nothing of a live node, of this node or of a connected holder is ever chosen.
+pub fn sweep(
+    own: Incarnation,
+    holdings: &[Holding],
+    dead: impl Fn(Incarnation) -> Option<Duration>,
+) -> Vec<Attempt> {
+    holdings
+        .iter()
+        .filter(|holding| holding.holder != own && !holding.connected)
+        .filter(|holding| dead(holding.holder).is_some_and(|time| time >= SWEEP_GRACE))
+        .map(|holding| holding.attempt)
+        .collect()
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,42 @@
+//! Every decision of the serving layer, as state machines without sockets, clocks or threads.
+//!
+//! Each function that decides takes the present time as an argument and every random choice takes
+//! a seed, so a run can be repeated event by event:
+//!
+//! ```
+//! use filbertstage_kernel::prelude::*;
+//! use filbertstage_kernel::schedule::{Pool, Setting};
+//!
+//! let mut pool = Pool::new(Setting::default());
+//! let now = Instant::from_millis(1_000);
+//! assert!(pool.assign(now).is_empty(), "nothing waits, so nothing is granted");
+//! ```
+
+pub mod admission;
+pub mod attempt;
+pub mod claim;
+pub mod clock;
+pub mod cost;
+pub mod fold;
+pub mod journal;
+pub mod lease;
+pub mod ledger;
+pub mod lists;
+pub mod membership;
+pub mod name;
+pub mod outcome;
+pub mod reconcile;
+pub mod request;
+pub mod resume;
+pub mod retry;
+pub mod routing;
+pub mod schedule;
+pub mod share;
+
+/// The types that almost every module uses.
+pub mod prelude {
+    pub use crate::clock::Instant;
+    pub use crate::name::{Domain, Endpoint, Host, Model, Service, Workspace};
+    pub use crate::outcome::{Outcome, Refusal};
+    pub use std::time::Duration;
+}
--- /dev/null
+++ b/crates/kernel/src/membership.rs
@@ -0,0 +1,253 @@
+//! Which nodes are alive, learned from heartbeats that pass on what the sender has heard.
+//!
+//! Each heartbeat carries the sender's own counter and the counters of the members that it heard
+//! from last. A node whose counter has not grown for [`DEAD_AFTER`] counts as dead. Membership
+//! only steers; no promise rests on it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::name::{Domain, Host, rendezvous};
+use crate::request::Incarnation;
+
+/// Time between two heartbeats of a node.
+pub const INTERVAL: Duration = Duration::from_millis(250);
+/// Age of the last counter at which a member counts as dead.
+pub const DEAD_AFTER: Duration = Duration::from_millis(2_400);
+/// How long a dead member is remembered.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// Members of the own failure domain that get each heartbeat.
+const FANOUT: usize = 3;
+/// Nodes of each failure domain that speak with other domains.
+const DELEGATES: usize = 2;
+/// Counters carried by one heartbeat.
+const CARRIED: usize = 32;
+
+/// One member's counter, as carried by heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The member's host.
+    pub host: Host,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Address for frames from other nodes.
+    pub address: String,
+    /// The member's incarnation.
+    pub incarnation: Incarnation,
+    /// Counts the member's heartbeats.
+    pub counter: u64,
+    /// Whether the member takes no new work.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    entry: Entry,
+    heard: Instant,
+    died: Option<Instant>,
+}
+
+/// The members that a node knows.
+#[derive(Debug)]
+pub struct Table {
+    own: Entry,
+    members: BTreeMap<Host, Member>,
+    /// Incarnations that were replaced by a newer one of the same host, and when.
+    replaced: BTreeMap<Incarnation, Instant>,
+}
+
+impl Table {
+    /// A table of the node `own` that knows nobody else.
+    #[must_use]
+    pub const fn new(own: Entry) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            replaced: BTreeMap::new(),
+        }
+    }
+
+    /// The node's own entry.
+    #[must_use]
+    pub const fn own(&self) -> &Entry {
+        &self.own
+    }
+
+    /// Marks the node itself as leaving.
+    pub fn leave(&mut self) {
+        self.own.leaving = true;
+    }
+
+    /// Counts a heartbeat and returns what it carries and whom it goes to.
+    pub fn beat(&mut self, now: Instant, random: &mut SmallRng) -> (Vec<Entry>, Vec<Entry>) {
+        self.own.counter += 1;
+        self.expire(now);
+        (self.carried(now), self.targets(now, random))
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for member in self.members.values_mut() {
+            if member.died.is_none() && member.heard + DEAD_AFTER <= now {
+                member.died = Some(now);
+            }
+        }
+        self.members
+            .retain(|_, member| member.died.is_none_or(|at| at + FORGET_AFTER > now));
+        self.replaced.retain(|_, at| *at + FORGET_AFTER > now);
+    }
+
+    fn carried(&self, now: Instant) -> Vec<Entry> {
+        let mut members: Vec<_> = self.alive(now).collect();
+        members.sort_by_key(|member| std::cmp::Reverse(member.heard));
+        let others = members
+            .into_iter()
+            .take(CARRIED)
+            .map(|member| member.entry.clone());
+        std::iter::once(self.own.clone()).chain(others).collect()
+    }
+
+    fn targets(&self, now: Instant, random: &mut SmallRng) -> Vec<Entry> {
+        let near: Vec<_> = self
+            .alive(now)
+            .filter(|member| member.entry.domain == self.own.domain)
+            .collect();
+        let mut targets: Vec<_> = near
+            .choose_multiple(random, FANOUT)
+            .map(|member| member.entry.clone())
+            .collect();
+        if self.is_delegate(now) {
+            targets.extend(self.remote_delegates(now, random));
+        }
+        targets
+    }
+
+    /// Whether the node speaks with other failure domains.
+    #[must_use]
+    pub fn is_delegate(&self, now: Instant) -> bool {
+        let own = rendezvous("delegate", self.own.host.as_str());
+        let better = self
+            .alive(now)
+            .filter(|member| member.entry.domain == self.own.domain)
+            .filter(|member| rendezvous("delegate", member.entry.host.as_str()) > own)
+            .count();
+        better < DELEGATES
+    }
+
+    /// One node of each other failure domain.
+    fn remote_delegates(&self, now: Instant, random: &mut SmallRng) -> Vec<Entry> {
+        let mut domains: BTreeMap<&Domain, Vec<&Member>> = BTreeMap::new();
+        for member in self.alive(now) {
+            if member.entry.domain != self.own.domain {
+                domains
+                    .entry(&member.entry.domain)
+                    .or_default()
+                    .push(member);
+            }
+        }
+        let chosen = domains
+            .values()
+            .filter_map(|members| members.choose(random));
+        chosen.map(|member| member.entry.clone()).collect()
+    }
+
+    fn alive(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |member| member.heard + DEAD_AFTER > now)
+    }
+
+    /// Takes the entries of a heartbeat; returns the hosts that came up or returned.
+    pub fn hear(&mut self, now: Instant, entries: &[Entry]) -> Vec<Host> {
+        let mut news = Vec::new();
+        for entry in entries {
+            if entry.host != self.own.host && self.merge(now, entry) {
+                news.push(entry.host.clone());
+            }
+        }
+        news
+    }
+
+    fn merge(&mut self, now: Instant, entry: &Entry) -> bool {
+        if self.replaced.contains_key(&entry.incarnation) {
+            return false;
+        }
+        let fresh = Member {
+            entry: entry.clone(),
+            heard: now,
+            died: None,
+        };
+        let Some(member) = self.members.get_mut(&entry.host) else {
+            self.members.insert(entry.host.clone(), fresh);
+            return true;
+        };
+        if member.entry.incarnation != entry.incarnation {
+            self.replaced.insert(member.entry.incarnation, now);
+            *member = fresh;
+            return true;
+        }
+        if entry.counter <= member.entry.counter {
+            return false;
+        }
+        let returned = member.died.is_some();
+        *member = fresh;
+        returned
+    }
+
+    /// The live members of `domain`, this node included where it belongs there.
+    #[must_use]
+    pub fn live_in(&self, now: Instant, domain: &Domain) -> Vec<&Entry> {
+        let mut live: Vec<_> = self
+            .live(now)
+            .into_iter()
+            .filter(|entry| entry.domain == *domain)
+            .collect();
+        live.sort_by(|left, right| left.host.cmp(&right.host));
+        live
+    }
+
+    /// All live members, this node first.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> Vec<&Entry> {
+        let others = self.alive(now).map(|member| &member.entry);
+        std::iter::once(&self.own).chain(others).collect()
+    }
+
+    /// All known members with whether they are alive.
+    #[must_use]
+    pub fn known(&self, now: Instant) -> Vec<(&Entry, bool)> {
+        let others = self
+            .members
+            .values()
+            .map(|member| (&member.entry, member.heard + DEAD_AFTER > now));
+        std::iter::once((&self.own, true)).chain(others).collect()
+    }
+
+    /// For how long `incarnation` has been dead; `None` for a live or unknown one.
+    #[must_use]
+    pub fn dead_for(&self, now: Instant, incarnation: Incarnation) -> Option<Duration> {
+        if let Some(at) = self.replaced.get(&incarnation) {
+            return Some(now.since(*at));
+        }
+        let member = self
+            .members
+            .values()
+            .find(|member| member.entry.incarnation == incarnation)?;
+        let dead = member.heard + DEAD_AFTER <= now;
+        dead.then(|| now.since(member.heard))
+    }
+
+    /// The live node of the own failure domain that owns `key`, by rendezvous hashing.
+    #[must_use]
+    pub fn owner(&self, now: Instant, key: &str) -> &Entry {
+        self.live_in(now, &self.own.domain)
+            .into_iter()
+            .filter(|entry| !entry.leaving)
+            .max_by_key(|entry| (rendezvous(key, entry.host.as_str()), entry.host.clone()))
+            .unwrap_or(&self.own)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/resume.rs
@@ -0,0 +1,90 @@
+//! Sealed tokens with which a caller continues a stream at any node.
+
+use hmac::{Hmac, Mac};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+const TAG_BYTES: usize = 16;
+
+quick_error! {
+    /// Why a resume token was not accepted.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The token was not issued with this fleet's key.
+        Forged {
+            display("the Last-Event-ID was not issued by this fleet: send the request without it to start over")
+        }
+    }
+}
+
+/// What a resume token says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Token {
+    /// The request whose answer is continued.
+    pub request: String,
+    /// Digest of the prompt, so that a token is not used with another prompt.
+    pub prompt: u64,
+    /// Answer tokens that the caller already has.
+    pub delivered: u64,
+    /// The endpoint that ran the stream.
+    pub endpoint: String,
+}
+
+impl Token {
+    /// The token as text for an event identifier.
+    #[must_use]
+    pub fn seal(&self, key: &[u8]) -> String {
+        let plain = format!(
+            "{}/{:x}/{:x}/{}",
+            self.request, self.prompt, self.delivered, self.endpoint
+        );
+        let tag = tag(key, plain.as_bytes());
+        format!("{}.{}", hex::encode(plain), hex::encode(&tag[..TAG_BYTES]))
+    }
+
+    /// Reads a token that [`Token::seal`] made with the same key.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Forged`] when the text was changed or made with another key.
+    pub fn open(text: &str, key: &[u8]) -> Result<Self, Error> {
+        let (plain, given) = text.split_once('.').ok_or(Error::Forged)?;
+        let plain = hex::decode(plain).map_err(|_| Error::Forged)?;
+        let given = hex::decode(given).map_err(|_| Error::Forged)?;
+        let expected = tag(key, &plain);
+        if !constant_time_eq(&expected[..TAG_BYTES], &given) {
+            return Err(Error::Forged);
+        }
+        let plain = String::from_utf8(plain).map_err(|_| Error::Forged)?;
+        let mut parts = plain.splitn(4, '/');
+        let mut part = || parts.next().ok_or(Error::Forged);
+        Ok(Self {
+            request: part()?.to_owned(),
+            prompt: number(part()?)?,
+            delivered: number(part()?)?,
+            endpoint: part()?.to_owned(),
+        })
+    }
+}
+
+fn number(text: &str) -> Result<u64, Error> {
+    u64::from_str_radix(text, 16).map_err(|_| Error::Forged)
+}
+
+fn constant_time_eq(left: &[u8], right: &[u8]) -> bool {
+    use subtle::ConstantTimeEq;
+    left.ct_eq(right).into()
+}
+
+/// The authentication tag of `message` under `key`.
+///
+/// # Panics
+///
+/// Never: HMAC takes keys of every length.
+#[must_use]
+pub fn tag(key: &[u8], message: &[u8]) -> [u8; 32] {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of every length");
+    mac.update(message);
+    mac.finalize().into_bytes().into()
+}
--- /dev/null
+++ b/crates/kernel/src/schedule/engine.rs
@@ -0,0 +1,251 @@
+//! A pool's view of one engine: lagged reports, corrected by what was granted since.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::cost::PREFIX_BLOCK_TOKENS;
+use crate::name::{Endpoint, Model};
+use crate::request::Attempt;
+
+use super::job::Job;
+
+/// Prefix hints kept for one engine.
+const HINTS: usize = 65_536;
+/// Age at which a prefix hint is no longer believed.
+const HINT_LIFETIME: Duration = Duration::from_secs(120);
+/// Prefill that a started request is assumed to have left until its first token arrives.
+const UNSEEN_TOKENS: f64 = 64.0;
+/// Time for which a finished request may still be in a lagged report.
+const REPORT_LAG: Duration = Duration::from_secs(2);
+
+/// What an engine says about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The engine.
+    pub endpoint: Endpoint,
+    /// The model that is loaded, if any.
+    pub model: Option<Model>,
+    /// The version of the model.
+    pub version: String,
+    /// The adapters that are loaded.
+    pub adapters: Vec<String>,
+    /// Prompt tokens a second of an otherwise idle engine.
+    pub prefill_rate: f64,
+    /// Seconds for one token of an answer.
+    pub token_seconds: f64,
+    /// KV memory, in tokens.
+    pub kv_total: u64,
+    /// KV memory in use by streams, in tokens.
+    pub kv_used: u64,
+    /// Most requests at once.
+    pub most_running: usize,
+    /// Whether the engine asks for no new work.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    rank: Instant,
+    prefill_left: f64,
+    kv_tokens: u64,
+    prefix: Vec<u64>,
+    started: Instant,
+    predicted: Duration,
+    first_token: bool,
+}
+
+/// One engine with the requests that were granted to it.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    report: Report,
+    flights: BTreeMap<Attempt, Flight>,
+    foreign_kv: u64,
+    finished: Vec<(Instant, u64)>,
+    hints: BTreeMap<u64, Instant>,
+    advanced: Instant,
+}
+
+impl Engine {
+    /// An engine that was first reported at `now`.
+    #[must_use]
+    pub fn new(now: Instant, report: Report) -> Self {
+        let mut engine = Self {
+            report,
+            flights: BTreeMap::new(),
+            foreign_kv: 0,
+            finished: Vec::new(),
+            hints: BTreeMap::new(),
+            advanced: now,
+        };
+        engine.foreign_kv = engine.report.kv_used;
+        engine
+    }
+
+    /// Takes a newer report.
+    pub fn refresh(&mut self, now: Instant, report: Report) {
+        self.report = report;
+        self.finished.retain(|(at, _)| *at + REPORT_LAG > now);
+        let fading: u64 = self.finished.iter().map(|(_, tokens)| tokens).sum();
+        self.foreign_kv = self
+            .report
+            .kv_used
+            .saturating_sub(self.granted_kv() + fading);
+    }
+
+    /// The engine's last report.
+    #[must_use]
+    pub const fn report(&self) -> &Report {
+        &self.report
+    }
+
+    /// Requests that were granted and have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// KV memory that a new request may use, in tokens.
+    #[must_use]
+    pub fn kv_free(&self) -> u64 {
+        self.report
+            .kv_total
+            .saturating_sub(self.granted_kv() + self.foreign_kv)
+    }
+
+    fn granted_kv(&self) -> u64 {
+        self.flights.values().map(|flight| flight.kv_tokens).sum()
+    }
+
+    /// Prompt tokens of `job` that the engine has to prefill, given its prefix hints.
+    #[must_use]
+    pub fn uncached(&self, now: Instant, job: &Job) -> u64 {
+        let known = |hash: &u64| self.hints.get(hash).is_some_and(|until| *until > now);
+        let blocks = job.prefix.iter().take_while(|hash| known(hash)).count() as u64;
+        job.prompt_tokens
+            .saturating_sub(blocks * PREFIX_BLOCK_TOKENS)
+            .max(1)
+    }
+
+    /// Believes that the engine holds the prefixes `hashes`.
+    pub fn hint(&mut self, now: Instant, hashes: &[u64]) {
+        if self.hints.len() + hashes.len() > HINTS {
+            self.hints.retain(|_, until| *until > now);
+        }
+        let room = HINTS.saturating_sub(self.hints.len());
+        for hash in hashes.iter().take(room) {
+            self.hints.insert(*hash, now + HINT_LIFETIME);
+        }
+    }
+
+    /// Stops believing in the prefixes `hashes`.
+    pub fn forget(&mut self, hashes: &[u64]) {
+        for hash in hashes {
+            self.hints.remove(hash);
+        }
+    }
+
+    /// Stops believing in every prefix, after the engine lost its cache.
+    pub fn forget_all(&mut self) {
+        self.hints.clear();
+    }
+
+    /// Prefill time of the requests on the engine whose virtual deadline is not after `rank`.
+    #[must_use]
+    pub fn ahead(&self, rank: Instant) -> Duration {
+        let tokens: f64 = self
+            .flights
+            .values()
+            .filter(|flight| flight.rank <= rank)
+            .map(|flight| flight.prefill_left)
+            .sum();
+        self.prefill_time(tokens)
+    }
+
+    /// Prompt tokens that the engine still has to prefill.
+    #[must_use]
+    pub fn backlog_tokens(&self) -> f64 {
+        self.flights
+            .values()
+            .map(|flight| flight.prefill_left)
+            .sum()
+    }
+
+    /// The time in which an idle engine prefills `tokens` tokens.
+    #[must_use]
+    pub fn prefill_time(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / self.report.prefill_rate.max(1.0))
+    }
+
+    /// The time in which the engine answers `tokens` tokens.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn answer_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 * self.report.token_seconds)
+    }
+
+    /// Counts `job` as started.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn start(&mut self, now: Instant, rank: Instant, job: &Job, kv: u64, predicted: Duration) {
+        self.advance(now);
+        let flight = Flight {
+            rank,
+            prefill_left: self.uncached(now, job) as f64,
+            kv_tokens: kv,
+            prefix: job.prefix.clone(),
+            started: now,
+            predicted,
+            first_token: false,
+        };
+        self.flights.insert(job.attempt, flight);
+    }
+
+    /// Notes the first token of `attempt`; returns the time it took and what was predicted.
+    pub fn first_token(&mut self, now: Instant, attempt: Attempt) -> Option<(Duration, Duration)> {
+        self.advance(now);
+        let flight = self.flights.get_mut(&attempt)?;
+        if flight.first_token {
+            return None;
+        }
+        flight.first_token = true;
+        flight.prefill_left = 0.0;
+        let measured = (now.since(flight.started), flight.predicted);
+        let prefix = flight.prefix.clone();
+        self.hint(now, &prefix);
+        Some(measured)
+    }
+
+    /// Forgets `attempt`, whose memory the engine has freed or is freeing.
+    pub fn end(&mut self, now: Instant, attempt: Attempt) -> bool {
+        self.advance(now);
+        let Some(flight) = self.flights.remove(&attempt) else {
+            return false;
+        };
+        self.finished.push((now, flight.kv_tokens));
+        true
+    }
+
+    /// Whether `attempt` runs here.
+    #[must_use]
+    pub fn runs(&self, attempt: Attempt) -> bool {
+        self.flights.contains_key(&attempt)
+    }
+
+    /// Lets the predicted prefill progress up to `now`, in the engine's order.
+    pub fn advance(&mut self, now: Instant) {
+        let mut budget = now.since(self.advanced).as_secs_f64() * self.report.prefill_rate;
+        self.advanced = self.advanced.max(now);
+        let mut flights: Vec<_> = self.flights.values_mut().collect();
+        flights.sort_by_key(|flight| flight.rank);
+        for flight in flights {
+            if flight.first_token || budget <= 0.0 {
+                continue;
+            }
+            let done = (flight.prefill_left - UNSEEN_TOKENS).max(0.0).min(budget);
+            flight.prefill_left -= done;
+            budget -= done;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/share.rs
@@ -0,0 +1,308 @@
+//! Plan limits that hold over all nodes: each node owns a share, and lends what it does not use.
+//!
+//! The shares of a limit always sum to at most the limit: a lender lowers its own share before it
+//! answers, and counts the loan until after the borrower has stopped using it. The worst overshoot
+//! is stated in docs/operators/limits.md.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::lists::Plan;
+use crate::name::Workspace;
+use crate::outcome::Refusal;
+
+/// How long a borrowed share may be used.
+pub const LOAN: Duration = Duration::from_secs(10);
+/// How much longer the lender waits before it uses the share again.
+const LOAN_MARGIN: Duration = Duration::from_secs(2);
+/// Seconds of a rate that may be used at once.
+const BURST_SECONDS: f64 = 1.0;
+/// Part of the free share that a lender gives away at a time.
+const LENT_PART: f64 = 0.5;
+const SECONDS_PER_MINUTE: f64 = 60.0;
+
+/// The part of every limit that a node owns while nothing is lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The node's place among the nodes, from zero.
+    pub index: u32,
+    /// Number of nodes.
+    pub nodes: u32,
+}
+
+impl Part {
+    /// The part of a node that is alone.
+    pub const WHOLE: Self = Self { index: 0, nodes: 1 };
+
+    fn of(self, limit: f64) -> f64 {
+        limit / f64::from(self.nodes.max(1))
+    }
+
+    /// The part of a limit that counts whole requests; the parts sum to the limit exactly.
+    fn of_count(self, limit: u32) -> u32 {
+        let nodes = self.nodes.max(1);
+        limit / nodes + u32::from(self.index < limit % nodes)
+    }
+}
+
+/// The limits that can be lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Limit {
+    /// Requests a second.
+    Rate,
+    /// Requests at once.
+    Concurrency,
+    /// Tokens a minute.
+    Tokens,
+}
+
+/// A part of a limit that was lent or borrowed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Loan {
+    limit: Limit,
+    amount: f64,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn fill(&mut self, now: Instant, rate: f64, capacity: f64) {
+        let earned = now.since(self.filled).as_secs_f64() * rate;
+        self.level = (self.level + earned).min(capacity);
+        self.filled = self.filled.max(now);
+    }
+}
+
+#[derive(Debug)]
+struct Account {
+    requests: Bucket,
+    tokens: Bucket,
+    running: u32,
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
+}
+
+/// What a request takes from its workspace's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Prompt and answer tokens.
+    pub tokens: u64,
+}
+
+/// The accounts of all workspaces at one node.
+#[derive(Debug)]
+pub struct Meter {
+    part: Part,
+    accounts: BTreeMap<Workspace, Account>,
+}
+
+impl Meter {
+    /// A meter for a node that owns `part` of every limit.
+    #[must_use]
+    pub const fn new(part: Part) -> Self {
+        Self {
+            part,
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a new part after the set of nodes changed.
+    pub fn set_part(&mut self, part: Part) {
+        self.part = part;
+    }
+
+    /// The part of every limit that the node owns.
+    #[must_use]
+    pub const fn part(&self) -> Part {
+        self.part
+    }
+
+    /// Requests of `workspace` that run now at this node.
+    #[must_use]
+    pub fn running(&self, workspace: &Workspace) -> u32 {
+        self.accounts
+            .get(workspace)
+            .map_or(0, |account| account.running)
+    }
+
+    fn account(&mut self, now: Instant, workspace: &Workspace, plan: &Plan) -> &mut Account {
+        let part = self.part;
+        let account = self
+            .accounts
+            .entry(workspace.clone())
+            .or_insert_with(|| Account::full(now, part, plan));
+        account.expire(now);
+        account
+    }
+
+    /// Takes what a request needs from every limit, or from none.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Limited`] with the limit that is reached and the time until it may pass.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        workspace: &Workspace,
+        plan: &Plan,
+        need: Need,
+    ) -> Result<(), (Limit, Refusal)> {
+        let part = self.part;
+        let account = self.account(now, workspace, plan);
+        account.take(now, part, plan, need)
+    }
+
+    /// Gives back the place of a request that ended.
+    pub fn release(&mut self, workspace: &Workspace) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.running = account.running.saturating_sub(1);
+        }
+    }
+
+    /// Lends a part of `limit` that is not in use; zero when there is none.
+    pub fn lend(&mut self, now: Instant, workspace: &Workspace, plan: &Plan, limit: Limit) -> f64 {
+        let part = self.part;
+        let account = self.account(now, workspace, plan);
+        let amount = account.lendable(now, part, plan, limit);
+        if amount > 0.0 {
+            account.lent.push(Loan {
+                limit,
+                amount,
+                until: now + LOAN + LOAN_MARGIN,
+            });
+        }
+        amount
+    }
+
+    /// Adds a part that a peer lent when it was asked at `asked`.
+    pub fn borrow(
+        &mut self,
+        asked: Instant,
+        now: Instant,
+        workspace: &Workspace,
+        plan: &Plan,
+        (limit, amount): (Limit, f64),
+    ) {
+        let account = self.account(now, workspace, plan);
+        account.borrowed.push(Loan {
+            limit,
+            amount,
+            until: asked + LOAN,
+        });
+    }
+}
+
+impl Account {
+    fn full(now: Instant, part: Part, plan: &Plan) -> Self {
+        let bucket = |level: f64| Bucket { level, filled: now };
+        Self {
+            requests: bucket(part.of(plan.requests_per_second) * BURST_SECONDS),
+            tokens: bucket(part.of(token_rate(plan)) * BURST_SECONDS),
+            running: 0,
+            lent: Vec::new(),
+            borrowed: Vec::new(),
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.lent.retain(|loan| loan.until > now);
+        self.borrowed.retain(|loan| loan.until > now);
+    }
+
+    fn balance(&self, limit: Limit) -> f64 {
+        let sum = |loans: &[Loan]| -> f64 {
+            let matching = loans.iter().filter(|loan| loan.limit == limit);
+            matching.map(|loan| loan.amount).sum()
+        };
+        sum(&self.borrowed) - sum(&self.lent)
+    }
+
+    fn rate(&self, part: Part, plan: &Plan, limit: Limit) -> f64 {
+        let own = match limit {
+            Limit::Rate => part.of(plan.requests_per_second),
+            Limit::Tokens => part.of(token_rate(plan)),
+            Limit::Concurrency => f64::from(part.of_count(plan.concurrency.get())),
+        };
+        (own + self.balance(limit)).max(0.0)
+    }
+
+    fn fill(&mut self, now: Instant, part: Part, plan: &Plan) {
+        let rate = self.rate(part, plan, Limit::Rate);
+        self.requests
+            .fill(now, rate, (rate * BURST_SECONDS).max(1.0));
+        let rate = self.rate(part, plan, Limit::Tokens);
+        self.tokens.fill(now, rate, rate * BURST_SECONDS);
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn take(
+        &mut self,
+        now: Instant,
+        part: Part,
+        plan: &Plan,
+        need: Need,
+    ) -> Result<(), (Limit, Refusal)> {
+        self.fill(now, part, plan);
+        let concurrency = self.rate(part, plan, Limit::Concurrency);
+        if f64::from(self.running) + 1.0 > concurrency {
+            let after = Duration::from_secs(1);
+            return Err(limited(Limit::Concurrency, after));
+        }
+        if self.requests.level < 1.0 {
+            let rate = self.rate(part, plan, Limit::Rate);
+            return Err(limited(Limit::Rate, until(1.0 - self.requests.level, rate)));
+        }
+        // A request larger than the bucket starts from a full bucket and leaves a debt.
+        let rate = self.rate(part, plan, Limit::Tokens);
+        let due = (need.tokens as f64).min(rate * BURST_SECONDS);
+        if self.tokens.level < due {
+            return Err(limited(Limit::Tokens, until(due - self.tokens.level, rate)));
+        }
+        self.requests.level -= 1.0;
+        self.tokens.level -= need.tokens as f64;
+        self.running += 1;
+        Ok(())
+    }
+
+    fn lendable(&mut self, now: Instant, part: Part, plan: &Plan, limit: Limit) -> f64 {
+        self.fill(now, part, plan);
+        let rate = self.rate(part, plan, limit);
+        match limit {
+            Limit::Concurrency => ((rate - f64::from(self.running)).max(0.0) * LENT_PART).ceil(),
+            Limit::Rate if self.requests.level >= rate * BURST_SECONDS * LENT_PART => {
+                rate * LENT_PART
+            }
+            Limit::Tokens if self.tokens.level >= rate * BURST_SECONDS * LENT_PART => {
+                rate * LENT_PART
+            }
+            _ => 0.0,
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn token_rate(plan: &Plan) -> f64 {
+    plan.tokens_per_minute.get() as f64 / SECONDS_PER_MINUTE
+}
+
+fn until(missing: f64, rate: f64) -> Duration {
+    const LONGEST_SECONDS: f64 = 60.0;
+    Duration::from_secs_f64((missing / rate.max(f64::EPSILON)).clamp(0.0, LONGEST_SECONDS))
+}
+
+fn limited(limit: Limit, after: Duration) -> (Limit, Refusal) {
+    let what = match limit {
+        Limit::Rate => "the plan's requests_per_second",
+        Limit::Concurrency => "the plan's concurrency",
+        Limit::Tokens => "the plan's tokens_per_minute",
+    };
+    (limit, Refusal::Limited(what.to_owned(), after))
+}
--- /dev/null
+++ b/crates/wire/src/datagram.rs
@@ -0,0 +1,34 @@
+//! Heartbeats as UDP datagrams.
+
+use crate::frame::Heartbeat;
+use crate::seal::{self, TAG_BYTES};
+use crate::Error;
+
+/// Largest datagram that is sent, in bytes.
+pub const LARGEST: usize = 8 * 1_024;
+
+/// The datagram of `heartbeat`: its tag, then its postcard form.
+///
+/// # Errors
+///
+/// [`Error::TooLarge`] when it does not fit into one datagram.
+pub fn encode(key: &[u8], heartbeat: &Heartbeat) -> Result<Vec<u8>, Error> {
+    let body = postcard::to_stdvec(heartbeat).map_err(|_| Error::Malformed)?;
+    let mut datagram = seal::tag(key, &[&body]).to_vec();
+    datagram.extend_from_slice(&body);
+    if datagram.len() > LARGEST {
+        return Err(Error::TooLarge);
+    }
+    Ok(datagram)
+}
+
+/// Reads a datagram that [`encode`] made with the same key.
+///
+/// # Errors
+///
+/// [`Error::Forged`] for another key or a changed datagram, [`Error::Malformed`] otherwise.
+pub fn decode(key: &[u8], datagram: &[u8]) -> Result<Heartbeat, Error> {
+    let (tag, body) = datagram.split_at_checked(TAG_BYTES).ok_or(Error::Malformed)?;
+    seal::check(key, &[body], tag)?;
+    postcard::from_bytes(body).map_err(|_| Error::Malformed)
+}
--- /dev/null
+++ b/crates/wire/src/seal.rs
@@ -0,0 +1,28 @@
+//! Authentication tags of frames.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::Error;
+
+/// Bytes of a tag.
+pub const TAG_BYTES: usize = 16;
+
+/// The tag of `parts` under `key`.
+pub fn tag(key: &[u8], parts: &[&[u8]]) -> [u8; TAG_BYTES] {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of every length");
+    for part in parts {
+        mac.update(part);
+    }
+    let whole = mac.finalize().into_bytes();
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&whole[..TAG_BYTES]);
+    tag
+}
+
+/// Checks the tag of `parts` in constant time.
+pub fn check(key: &[u8], parts: &[&[u8]], given: &[u8]) -> Result<(), Error> {
+    let genuine: bool = tag(key, parts).ct_eq(given).into();
+    if genuine { Ok(()) } else { Err(Error::Forged) }
+}
