--- /dev/null
+++ b/bin/filbertctl/src/caller.rs
@@ -0,0 +1,224 @@
+//! A caller: sends requests as clients do and checks every answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use kernel::outcome::Outcome;
+use platform::http::{Call, Connection, Error};
+use serde::Serialize;
+use serde_json::{Value, json};
+use volo_http::client::sse::SseExt;
+
+/// How long a caller waits beyond its time limit before it counts the answer as late.
+pub const GRACE: Duration = Duration::from_millis(250);
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// The whole, right answer.
+    Whole,
+    /// A refusal before anything ran.
+    NotRun,
+    /// A failure that is safe to repeat.
+    Failed,
+    /// The call may have run.
+    Unknown,
+    /// An answer that is not the one to this prompt.
+    Wrong,
+    /// No end within the time limit.
+    Late,
+    /// The node could not be reached, or the connection to it broke.
+    NodeLost,
+}
+
+impl End {
+    const fn of(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::NotRun => Self::NotRun,
+            Outcome::Failed => Self::Failed,
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// How the request ended.
+    pub end: End,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// The request's identifier, where one was told.
+    pub request: String,
+    /// The identifier of the last event, to continue with.
+    pub last_event: String,
+    /// The text that arrived.
+    pub text: String,
+    /// The error's code and message, if any.
+    pub error: String,
+}
+
+/// A request for a text completion.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The bearer key.
+    pub key: &'a str,
+    /// The model.
+    pub model: &'a str,
+    /// The prompt.
+    pub prompt: &'a str,
+    /// Most tokens to answer.
+    pub answer_tokens: u64,
+    /// The time limit.
+    pub limit: Duration,
+    /// The event to continue after, or an empty text.
+    pub last_event: &'a str,
+}
+
+/// Sends a streamed completion and checks its text.
+pub async fn complete(address: SocketAddr, ask: Ask<'_>) -> Seen {
+    let started = Instant::now();
+    let mut seen = Seen {
+        end: End::NodeLost,
+        first_token: None,
+        total: Duration::ZERO,
+        request: String::new(),
+        last_event: String::new(),
+        text: String::new(),
+        error: String::new(),
+    };
+    let outcome =
+        tokio::time::timeout(ask.limit + GRACE, stream(address, ask, started, &mut seen)).await;
+    seen.end = outcome.unwrap_or(End::Late);
+    seen.total = started.elapsed();
+    if seen.end == End::Whole && ask.last_event.is_empty() && !right(&ask, &seen.text) {
+        seen.end = End::Wrong;
+    }
+    let partial = fakes::text::answer(ask.prompt, ask.answer_tokens);
+    if ask.last_event.is_empty() && !partial.starts_with(&seen.text) {
+        seen.end = End::Wrong;
+    }
+    seen
+}
+
+fn right(ask: &Ask<'_>, text: &str) -> bool {
+    fakes::text::answer(ask.prompt, ask.answer_tokens) == text
+}
+
+async fn stream(address: SocketAddr, ask: Ask<'_>, started: Instant, seen: &mut Seen) -> End {
+    let body = json!({
+        "model": ask.model,
+        "prompt": ask.prompt,
+        "max_tokens": ask.answer_tokens,
+        "stream": true,
+    });
+    let limit_ms = ask.limit.as_millis().to_string();
+    let authorization = format!("Bearer {}", ask.key);
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("x-request-timeout-ms", limit_ms.as_str()),
+        ("last-event-id", ask.last_event),
+    ];
+    let call = Call {
+        method: Method::POST,
+        path: "/v1/completions",
+        headers: &headers,
+        body: bytes::Bytes::from(body.to_string()),
+    };
+    let connection = Connection::new(address);
+    let Ok(response) = connection.send(call, ask.limit + GRACE).await else {
+        return End::NodeLost;
+    };
+    if let Some(id) = response.headers().get("x-request-id") {
+        id.to_str()
+            .unwrap_or_default()
+            .clone_into(&mut seen.request);
+    }
+    if !response.status().is_success() {
+        return refused(response.into_body(), seen).await;
+    }
+    let Ok(mut reader) = response.into_sse() else {
+        return End::Wrong;
+    };
+    loop {
+        let Ok(Some(event)) = reader.read().await else {
+            return End::NodeLost;
+        };
+        let data = event.data().unwrap_or_default();
+        if data == "[DONE]" {
+            return End::Whole;
+        }
+        let Ok(document) = serde_json::from_str::<Value>(data) else {
+            return End::Wrong;
+        };
+        if document.get("error").is_some() {
+            return error(&document, seen);
+        }
+        let text = document["choices"][0]["text"].as_str().unwrap_or_default();
+        if !text.is_empty() {
+            seen.first_token.get_or_insert_with(|| started.elapsed());
+            seen.text.push_str(text);
+        }
+        if let Some(id) = event.id() {
+            id.clone_into(&mut seen.last_event);
+        }
+    }
+}
+
+async fn refused(body: volo_http::body::Body, seen: &mut Seen) -> End {
+    use volo_http::body::BodyConversion;
+    let Ok(body) = body.into_vec().await else {
+        return End::NodeLost;
+    };
+    match serde_json::from_slice(&body) {
+        Ok(document) => error(&document, seen),
+        Err(_) => End::Wrong,
+    }
+}
+
+fn error(document: &Value, seen: &mut Seen) -> End {
+    let error = &document["error"];
+    let message = error["message"].as_str().unwrap_or_default();
+    seen.error = format!("{}: {message}", error["code"].as_str().unwrap_or_default());
+    match serde_json::from_value(error["outcome"].clone()) {
+        Ok(outcome) => End::of(outcome),
+        Err(_) => End::Wrong,
+    }
+}
+
+/// Makes a call of the plain service; returns how it ended and the answer's body.
+pub async fn call(
+    address: SocketAddr,
+    key: &str,
+    path: &str,
+    idempotency_key: &str,
+    limit: Duration,
+) -> (End, String) {
+    let limit_ms = limit.as_millis().to_string();
+    let authorization = format!("Bearer {key}");
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("x-request-timeout-ms", limit_ms.as_str()),
+        ("idempotency-key", idempotency_key),
+    ];
+    let call = Call {
+        method: Method::POST,
+        path,
+        headers: &headers,
+        body: bytes::Bytes::from_static(b"{\"gate\": 4}"),
+    };
+    match Connection::new(address).fetch(call, limit + GRACE).await {
+        Ok(body) => (End::Whole, String::from_utf8_lossy(&body).into_owned()),
+        Err(Error::Status(_, body)) => {
+            let document: Value = serde_json::from_str(&body).unwrap_or_default();
+            let outcome = serde_json::from_value(document["error"]["outcome"].clone());
+            (outcome.map_or(End::Wrong, End::of), body)
+        }
+        Err(Error::Silent) => (End::Late, String::new()),
+        Err(_) => (End::NodeLost, String::new()),
+    }
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/arguments.rs
@@ -0,0 +1,137 @@
+//! The arguments of a subcommand.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::str::FromStr;
+
+use lexopt::prelude::*;
+use quick_error::quick_error;
+
+use super::{EXIT_REFUSED, EXIT_UNREACHABLE, EXIT_USAGE};
+
+quick_error! {
+    /// Why a command could not do its work.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The command line is not understood.
+        Usage(message: String) {
+            display("{}", message)
+        }
+        /// A node or file could not be used.
+        Unusable(message: String) {
+            display("{}", message)
+        }
+        /// A change was refused.
+        Refused(message: String) {
+            display("{}", message)
+        }
+    }
+}
+
+impl Error {
+    /// The exit code of the error.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => EXIT_USAGE,
+            Self::Unusable(_) => EXIT_UNREACHABLE,
+            Self::Refused(_) => EXIT_REFUSED,
+        }
+    }
+}
+
+/// Flags that every command takes.
+const COMMON: [&str; 2] = ["help", "json"];
+/// Options that every command takes.
+const COMMON_OPTIONS: [&str; 1] = ["log="];
+
+/// Parsed arguments, taken out one by one.
+#[derive(Debug, Default)]
+pub struct Arguments {
+    values: BTreeMap<String, String>,
+    flags: Vec<String>,
+    free: VecDeque<String>,
+}
+
+/// The known name that is most like `name`.
+pub fn nearest<'a>(name: &str, known: &[&'a str]) -> &'a str {
+    let score = |other: &&&str| (strsim::jaro_winkler(name, other) * 1_000_000.0) as u64;
+    known.iter().max_by_key(score).copied().unwrap_or_default()
+}
+
+impl Arguments {
+    /// Parses arguments; a known name that ends with `=` takes a value.
+    pub fn parse(mut parser: lexopt::Parser, known: &[&str]) -> Result<Self, Error> {
+        let usage = |error: lexopt::Error| Error::Usage(error.to_string());
+        let mut arguments = Self::default();
+        while let Some(argument) = parser.next().map_err(usage)? {
+            match argument {
+                Long(name) => {
+                    let name = name.to_owned();
+                    let takes_value = [known, &COMMON_OPTIONS]
+                        .concat()
+                        .contains(&format!("{name}=").as_str());
+                    if takes_value {
+                        let value = parser.value().map_err(usage)?;
+                        arguments
+                            .values
+                            .insert(name, value.to_string_lossy().into_owned());
+                    } else if known.contains(&name.as_str()) || COMMON.contains(&name.as_str()) {
+                        arguments.flags.push(name);
+                    } else {
+                        return Err(unknown(&name, known));
+                    }
+                }
+                Short('h') => arguments.flags.push("help".to_owned()),
+                Value(value) => arguments
+                    .free
+                    .push_back(value.to_string_lossy().into_owned()),
+                Short(letter) => {
+                    return Err(Error::Usage(format!(
+                        "unknown argument -{letter}: see --help"
+                    )));
+                }
+            }
+        }
+        Ok(arguments)
+    }
+
+    /// Whether a flag was given.
+    pub fn flag(&self, name: &str) -> bool {
+        self.flags.iter().any(|flag| flag == name)
+    }
+
+    /// The value of an option, if it was given.
+    pub fn value<T: FromStr>(&mut self, name: &str) -> Result<Option<T>, Error> {
+        let Some(text) = self.values.remove(name) else {
+            return Ok(None);
+        };
+        let parsed = text.parse().map(Some);
+        parsed.map_err(|_| {
+            Error::Usage(format!(
+                "--{name} {text:?} is not a valid value: see --help"
+            ))
+        })
+    }
+
+    /// The value of an option that must be given.
+    pub fn required<T: FromStr>(&mut self, name: &str) -> Result<T, Error> {
+        let missing = || Error::Usage(format!("--{name} is missing: see --help"));
+        self.value(name)?.ok_or_else(missing)
+    }
+
+    /// The next argument without a name; `what` says what is missing.
+    pub fn next(&mut self, what: &str) -> Result<String, Error> {
+        let missing = || Error::Usage(format!("{what} is missing: see --help"));
+        self.free.pop_front().ok_or_else(missing)
+    }
+}
+
+fn unknown(name: &str, known: &[&str]) -> Error {
+    let names: Vec<_> = known
+        .iter()
+        .chain(&COMMON)
+        .chain(&COMMON_OPTIONS)
+        .map(|name| name.trim_end_matches('='))
+        .collect();
+    let hint = nearest(name, &names);
+    Error::Usage(format!("unknown flag --{name}: did you mean --{hint}?"))
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/demo.rs
@@ -0,0 +1,174 @@
+//! `filbertctl demo`: a node and stand-ins in one process.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::arguments::{Arguments, Error};
+use super::{EXIT_FAILED, runtime};
+use crate::caller::{self, Ask, End, Seen};
+use crate::fleet::{self, BOOKING, Fleet, MODEL, OPERATOR_KEY, Plan, SERVICE};
+use crate::scenario;
+
+pub const HELP: &str = "\
+Runs a node and stand-ins for engines, a service and the platform in one process on loopback,
+serves one prompt of each length and one call that may not be repeated, and prints a table.
+
+Usage: filbertctl demo [OPTIONS]
+
+Options:
+      --stay       Leave it running and print a line to try
+      --json       Print JSON
+      --log LEVEL  Show logs of this level
+
+Exit codes: 0 all answers were whole, 1 some were not, 2 usage
+";
+pub const FLAGS: &[&str] = &["stay"];
+
+/// Engines of the demo run this many times faster than real ones.
+const SCALE: u32 = 20;
+/// Time limit of each request.
+const LIMIT: Duration = Duration::from_secs(50);
+/// Prompt lengths, in tokens.
+const LENGTHS: [u64; 4] = [1_000, 10_000, 100_000, 1_000_000];
+
+/// One line of the table.
+#[derive(Debug, Serialize)]
+struct Line {
+    request: String,
+    tokens: u64,
+    first_token_ms: Option<u128>,
+    total_ms: u128,
+    endpoint: String,
+    outcome: End,
+}
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    runtime()?.block_on(demo(arguments.flag("json"), arguments.flag("stay")))
+}
+
+async fn demo(json: bool, stay: bool) -> Result<ExitCode, Error> {
+    let unusable =
+        |error: std::io::Error| Error::Unusable(format!("the demo did not start: {error}"));
+    let mut plan = Plan::new(&[("charnwood", 1, 4, 1)], SCALE);
+    plan.kv_total = 400_000;
+    let fleet = Fleet::start(plan).await.map_err(unusable)?;
+    let address = fleet.callers()[0];
+    let mut lines = Vec::new();
+    for tokens in LENGTHS {
+        lines.push(prompt(address, tokens).await);
+    }
+    lines.push(booking(address).await);
+    let whole = lines.iter().all(|line| line.outcome == End::Whole);
+    if json {
+        println!("{}", serde_json::json!({ "whole": whole, "lines": lines }));
+    } else {
+        show(&lines);
+    }
+    if stay {
+        println!("{}", hint(address));
+        // The node's own handlers take the signal too; the demo ends at once.
+        let _ = tokio::signal::ctrl_c().await;
+    }
+    Ok(if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILED)
+    })
+}
+
+async fn prompt(address: std::net::SocketAddr, tokens: u64) -> Line {
+    let text = scenario::prompt(tokens, tokens);
+    let key = fleet::key(0);
+    let ask = Ask {
+        key: &key,
+        model: MODEL,
+        prompt: &text,
+        answer_tokens: 32,
+        limit: LIMIT,
+        last_event: "",
+    };
+    let seen = caller::complete(address, ask).await;
+    let endpoint = endpoint(address, &seen).await;
+    Line {
+        request: "completion".to_owned(),
+        tokens,
+        first_token_ms: seen.first_token.map(|time| time.as_millis()),
+        total_ms: seen.total.as_millis(),
+        endpoint,
+        outcome: seen.end,
+    }
+}
+
+/// The endpoint that a request was granted, from the node's journal.
+async fn endpoint(address: std::net::SocketAddr, seen: &Seen) -> String {
+    use platform::http::{Call, Connection};
+    let path = format!("/operator/explain/{}", seen.request);
+    let authorization = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", authorization.as_str())];
+    let call = Call {
+        method: http::Method::GET,
+        path: &path,
+        headers: &headers,
+        body: bytes::Bytes::new(),
+    };
+    let Ok(body) = Connection::new(address)
+        .fetch(call, Duration::from_secs(2))
+        .await
+    else {
+        return "unknown".to_owned();
+    };
+    let explained: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let decisions = explained["decisions"].as_array().into_iter().flatten();
+    let mut granted = decisions.filter(|decision| decision["event"] == "granted");
+    let reason = granted
+        .next_back()
+        .and_then(|decision| decision["reason"].as_str())
+        .unwrap_or_default();
+    let mut words = reason.split(' ');
+    let endpoint = words.find_map(|word| word.strip_prefix("endpoint="));
+    endpoint.unwrap_or("unknown").to_owned()
+}
+
+async fn booking(address: std::net::SocketAddr) -> Line {
+    let started = std::time::Instant::now();
+    let path = format!("/v1/services/{SERVICE}/{BOOKING}");
+    let (outcome, _) = caller::call(address, &fleet::key(0), &path, "demo-booking", LIMIT).await;
+    Line {
+        request: format!("{SERVICE}/{BOOKING}"),
+        tokens: 0,
+        first_token_ms: None,
+        total_ms: started.elapsed().as_millis(),
+        endpoint: SERVICE.to_owned(),
+        outcome,
+    }
+}
+
+fn show(lines: &[Line]) {
+    println!(
+        "{:<18} {:>9} {:>15} {:>9}  {:<8} endpoint",
+        "request", "tokens", "first token", "total", "outcome"
+    );
+    for line in lines {
+        let first = line
+            .first_token_ms
+            .map_or_else(|| "-".to_owned(), |time| format!("{time} ms"));
+        println!(
+            "{:<18} {:>9} {:>15} {:>6} ms  {:<8} {}",
+            line.request,
+            line.tokens,
+            first,
+            line.total_ms,
+            format!("{:?}", line.outcome).to_lowercase(),
+            line.endpoint
+        );
+    }
+}
+
+fn hint(address: std::net::SocketAddr) -> String {
+    format!(
+        "\nThe node serves http://{address} until Ctrl-C. Try:\n\n  curl -N http://{address}/v1/chat/completions -H 'Authorization: Bearer {}' \\\n    -d '{{\"model\": \"{MODEL}\", \"stream\": true, \"messages\": [{{\"role\": \"user\", \"content\": \"Is the north loop groomed?\"}}]}}'\n\n  filbertctl status --node {address} --key {OPERATOR_KEY}",
+        fleet::key(0)
+    )
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/explain.rs
@@ -0,0 +1,56 @@
+//! `filbertctl explain`: shows every decision on a request.
+
+use std::process::ExitCode;
+
+use http::Method;
+
+use super::arguments::{Arguments, Error};
+use super::operator::Operator;
+use super::{EXIT_FAILED, runtime};
+
+pub const HELP: &str = "\
+Shows every decision that the nodes took on a request, with its reasons and numbers.
+
+Usage: filbertctl explain REQUEST --node ADDRESS --key KEY [OPTIONS]
+
+REQUEST is the x-request-id of the answer. Nodes remember the last few thousand requests.
+
+Options:
+      --node ADDRESS  Address and port of a node
+      --key KEY       An operator's key
+      --json          Print JSON
+      --log LEVEL     Show logs of this level
+
+Exit codes: 0 shown, 1 no node remembers the request, 2 usage, 3 node, 4 refused
+";
+pub const FLAGS: &[&str] = &["node=", "key="];
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let request = arguments.next("REQUEST")?;
+    let operator = Operator::from_arguments(arguments)?;
+    let path = format!("/operator/explain/{request}");
+    let call = operator.call(Method::GET, &path, String::new());
+    let explained = runtime()?.block_on(call)?;
+    let decisions = explained["decisions"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    if arguments.flag("json") {
+        println!("{explained}");
+    } else {
+        for decision in &decisions {
+            println!(
+                "{:>8} ms  {:<20} {:<16} {}",
+                decision["after_ms"].to_string(),
+                decision["host"].as_str().unwrap_or_default(),
+                decision["event"].as_str().unwrap_or_default(),
+                decision["reason"].as_str().unwrap_or_default(),
+            );
+        }
+    }
+    if decisions.is_empty() {
+        eprintln!("filbertctl: no node remembers request {request}");
+        return Ok(ExitCode::from(EXIT_FAILED));
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/mod.rs
@@ -0,0 +1,161 @@
+//! The subcommands of `filbertctl`.
+
+mod arguments;
+mod demo;
+mod explain;
+mod load;
+mod operator;
+mod publish;
+mod soak;
+mod status;
+
+use std::process::ExitCode;
+
+use arguments::{Arguments, Error, nearest};
+use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
+
+/// Exit code when a check that the command makes did not hold.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code for a command line that is not understood.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code when a node or file could not be used.
+pub const EXIT_UNREACHABLE: u8 = 3;
+/// Exit code for a change that was refused.
+pub const EXIT_REFUSED: u8 = 4;
+
+const HELP: &str = "\
+Operates filbertstage: publishes lists, shows status and decisions, tries and measures the product.
+
+Usage: filbertctl COMMAND [OPTIONS]
+
+Commands:
+  demo     Run a node and stand-ins in one process and serve a prompt of each length
+  publish  Publish a change to the plan or usage list
+  status   Show hosts, endpoints, leases, list versions and unknown outcomes
+  explain  Show every decision on a request
+  load     Measure policies under the same seeded arrivals
+  soak     Run random load under random faults and check what must always hold
+
+Every command takes --help and --json.
+
+Exit codes:
+  0  done
+  1  a check that the command makes did not hold
+  2  the command line is not understood
+  3  a node or file could not be used
+  4  the change was refused
+";
+
+/// A subcommand.
+struct Command {
+    name: &'static str,
+    help: &'static str,
+    flags: &'static [&'static str],
+    run: fn(&mut Arguments) -> Result<ExitCode, Error>,
+}
+
+const COMMANDS: [Command; 6] = [
+    Command {
+        name: "demo",
+        help: demo::HELP,
+        flags: demo::FLAGS,
+        run: demo::run,
+    },
+    Command {
+        name: "publish",
+        help: publish::HELP,
+        flags: publish::FLAGS,
+        run: publish::run,
+    },
+    Command {
+        name: "status",
+        help: status::HELP,
+        flags: status::FLAGS,
+        run: status::run,
+    },
+    Command {
+        name: "explain",
+        help: explain::HELP,
+        flags: explain::FLAGS,
+        run: explain::run,
+    },
+    Command {
+        name: "load",
+        help: load::HELP,
+        flags: load::FLAGS,
+        run: load::run,
+    },
+    Command {
+        name: "soak",
+        help: soak::HELP,
+        flags: soak::FLAGS,
+        run: soak::run,
+    },
+];
+
+/// Runs the command line.
+#[must_use]
+pub fn run(parser: lexopt::Parser) -> ExitCode {
+    match dispatch(parser) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("filbertctl: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+fn dispatch(mut parser: lexopt::Parser) -> Result<ExitCode, Error> {
+    use lexopt::prelude::*;
+    let first = parser
+        .next()
+        .map_err(|error| Error::Usage(error.to_string()))?;
+    let name = match first {
+        Some(Value(name)) => name.to_string_lossy().into_owned(),
+        Some(Long("help") | Short('h')) => {
+            print!("{HELP}");
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(Long("version") | Short('V')) => {
+            println!("filbertctl {}", env!("CARGO_PKG_VERSION"));
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(other) => {
+            return Err(Error::Usage(format!(
+                "unknown argument {other:?}: give a command first, see --help"
+            )));
+        }
+        None => return Err(Error::Usage("no command: see filbertctl --help".to_owned())),
+    };
+    let names: Vec<_> = COMMANDS.iter().map(|command| command.name).collect();
+    let Some(command) = COMMANDS.iter().find(|command| command.name == name) else {
+        let hint = nearest(&name, &names);
+        return Err(Error::Usage(format!(
+            "unknown command {name:?}: did you mean {hint}?"
+        )));
+    };
+    let mut arguments = Arguments::parse(parser, command.flags)?;
+    if arguments.flag("help") {
+        print!("{}", command.help);
+        return Ok(ExitCode::SUCCESS);
+    }
+    start_log(&mut arguments)?;
+    (command.run)(&mut arguments)
+}
+
+fn start_log(arguments: &mut Arguments) -> Result<(), Error> {
+    let level = arguments.value("log")?.unwrap_or(LevelFilter::Off);
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("filbert")
+        .build();
+    // A second logger is never installed in this process.
+    let _ = SimpleLogger::init(level, config);
+    Ok(())
+}
+
+/// A runtime for the command's own work.
+fn runtime() -> Result<tokio::runtime::Runtime, Error> {
+    tokio::runtime::Runtime::new()
+        .map_err(|error| Error::Unusable(format!("no worker threads: {error}")))
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/publish.rs
@@ -0,0 +1,119 @@
+//! `filbertctl publish`: publishes a change to a list.
+
+use std::process::ExitCode;
+
+use http::Method;
+use kernel::lists::{Change, Plans, Usage, check_plans, check_usage};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::arguments::{Arguments, Error};
+use super::operator::Operator;
+use super::{EXIT_REFUSED, runtime};
+
+pub const HELP: &str = "\
+Publishes a change to the plan or usage list and reads back whether it was accepted.
+
+Usage: filbertctl publish plans|usage FILE --base VERSION --node ADDRESS --key KEY [OPTIONS]
+
+FILE holds a whole list, which replaces the one in force, or with --put the entries to add or
+replace. Publishing the same file against the same base again is harmless: it is the same change.
+
+Options:
+      --base VERSION  The version that the change was made against; 0 for the first
+      --put           Add or replace only the entries of FILE
+      --id ID         Identifies the change [default: a hash of it]
+      --node ADDRESS  Address and port of a node
+      --key KEY       An operator's key
+      --json          Print JSON
+      --log LEVEL     Show logs of this level
+
+Exit codes: 0 accepted, 2 usage, 3 node or file, 4 conflict or invalid
+";
+pub const FLAGS: &[&str] = &["base=", "put", "id=", "node=", "key="];
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let list = arguments.next("plans or usage")?;
+    let file = arguments.next("FILE")?;
+    let base: u64 = arguments.required("base")?;
+    let operator = Operator::from_arguments(arguments)?;
+    let text = std::fs::read_to_string(&file).map_err(|error| {
+        Error::Unusable(format!("{file}: {error}: give a file that can be read"))
+    })?;
+    let content: Value = serde_json::from_str(&text)
+        .map_err(|error| Error::Refused(format!("{file}: {error}: correct the JSON")))?;
+    let edit = edit(&list, arguments.flag("put"), content, &file)?;
+    let id = arguments
+        .value("id")?
+        .unwrap_or_else(|| identify(base, &edit));
+    let change = json!({ "id": id, "base": base, "edit": edit });
+    let change: Change = serde_json::from_value(change).map_err(|error| {
+        Error::Refused(format!("{file}: {error}: follow schemas/lists.schema.json"))
+    })?;
+    let body = serde_json::to_string(&change).unwrap_or_default();
+    let call = operator.call(Method::POST, "/operator/publish", body);
+    let verdict = runtime()?.block_on(call)?;
+    show(&id, &verdict, arguments.flag("json"));
+    if verdict["verdict"] == "accepted" {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_REFUSED))
+}
+
+/// The edit that the file asks for; a whole list is checked before it is sent.
+fn edit(list: &str, put: bool, content: Value, file: &str) -> Result<Value, Error> {
+    let broken = |error: serde_json::Error| {
+        Error::Refused(format!("{file}: {error}: follow schemas/lists.schema.json"))
+    };
+    let problems = match list {
+        "plans" => {
+            let plans: Plans = serde_json::from_value(content.clone()).map_err(broken)?;
+            check_plans(&plans)
+        }
+        "usage" => {
+            let usage: Usage = serde_json::from_value(content.clone()).map_err(broken)?;
+            if put { Vec::new() } else { check_usage(&usage) }
+        }
+        other => {
+            return Err(Error::Usage(format!(
+                "no list {other:?}: give plans or usage"
+            )));
+        }
+    };
+    if !problems.is_empty() {
+        let lines: Vec<_> = problems
+            .iter()
+            .map(|problem| format!("{file}: {problem}"))
+            .collect();
+        return Err(Error::Refused(lines.join("\n")));
+    }
+    let verb = if put { "put" } else { "replace" };
+    Ok(json!({ format!("{verb}_{list}"): content }))
+}
+
+fn identify(base: u64, edit: &Value) -> String {
+    hex::encode(Sha256::digest(format!("{base} {edit}").as_bytes()))
+}
+
+fn show(id: &str, verdict: &Value, json: bool) {
+    if json {
+        let mut verdict = verdict.clone();
+        verdict["id"] = Value::from(id);
+        println!("{verdict}");
+        return;
+    }
+    match verdict["verdict"].as_str() {
+        Some("accepted") => println!(
+            "accepted: the list is now at version {}",
+            verdict["version"]
+        ),
+        Some("conflict") => println!(
+            "conflict: the list is at version {}: read it, make the change again, and publish against that base",
+            verdict["current"]
+        ),
+        _ => println!(
+            "invalid: {}",
+            verdict["reason"].as_str().unwrap_or("no reason given")
+        ),
+    }
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/status.rs
@@ -0,0 +1,101 @@
+//! `filbertctl status`: shows what the nodes know.
+
+use std::process::ExitCode;
+
+use http::Method;
+use serde_json::Value;
+
+use super::arguments::{Arguments, Error};
+use super::operator::Operator;
+use super::runtime;
+
+pub const HELP: &str = "\
+Shows hosts, failure domains, leases, endpoints with what they hold, list versions and unknown
+outcomes, as seen by every node that one node knows.
+
+Usage: filbertctl status --node ADDRESS --key KEY [OPTIONS]
+
+Options:
+      --node ADDRESS  Address and port of a node
+      --key KEY       An operator's key
+      --json          Print JSON
+      --log LEVEL     Show logs of this level
+
+Exit codes: 0 shown, 2 usage, 3 node, 4 refused
+";
+pub const FLAGS: &[&str] = &["node=", "key="];
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let operator = Operator::from_arguments(arguments)?;
+    let call = operator.call(Method::GET, "/operator/status", String::new());
+    let status = runtime()?.block_on(call)?;
+    if arguments.flag("json") {
+        println!("{status}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    for node in status["nodes"].as_array().into_iter().flatten() {
+        show(node);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn text(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
+
+fn show(node: &Value) {
+    if let Some(reason) = node["unreachable"].as_str() {
+        println!("{}: unreachable: {reason}", text(&node["host"]));
+        return;
+    }
+    println!(
+        "{} in {}: ready {}, running {}, plans {}, usage {}, lists from {}, held {}",
+        text(&node["host"]),
+        text(&node["domain"]),
+        node["ready"],
+        node["running"],
+        node["plans_version"],
+        node["usage_version"],
+        if node["lists_from_log"] == true {
+            "the log"
+        } else {
+            "peers"
+        },
+        node["held_at_endpoints"],
+    );
+    for engine in node["engines"].as_array().into_iter().flatten() {
+        println!(
+            "  engine {}: {} {}, KV {} of {} tokens{}",
+            text(&engine["endpoint"]),
+            text(&engine["model"]),
+            text(&engine["version"]),
+            engine["kv_used"],
+            engine["kv_total"],
+            if engine["leaving"] == true {
+                ", leaving"
+            } else {
+                ""
+            },
+        );
+    }
+    for pool in node["pools"].as_array().into_iter().flatten() {
+        println!(
+            "  pool {}: {} wait",
+            text(&pool["model"]),
+            pool["digest"]["waiting"]
+        );
+    }
+    for lease in node["leases"].as_array().into_iter().flatten() {
+        println!(
+            "  lease {}: held by {}, fence {}",
+            text(&lease["name"]),
+            text(&lease["holder"]),
+            lease["fence"]
+        );
+    }
+    for key in node["unknown_outcomes"].as_array().into_iter().flatten() {
+        println!("  unknown outcome: {}", text(key));
+    }
+}
--- /dev/null
+++ b/bin/filbertctl/src/fleet/lists.rs
@@ -0,0 +1,95 @@
+//! The plan and usage lists of a fleet.
+
+use kernel::fold::change_record;
+use kernel::lists::Change;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::Fleet;
+
+/// The model that all engines start with.
+pub const MODEL: &str = "report-writer";
+/// The plain service.
+pub const SERVICE: &str = "trail-desk";
+/// A call of the service that may not be repeated.
+pub const BOOKING: &str = "book";
+/// A call of the service that may be repeated.
+pub const REPORT: &str = "conditions";
+/// The first workspace.
+pub const WORKSPACE: &str = "workspace-0";
+
+/// The bearer key of workspace number `index`.
+#[must_use]
+pub fn key(index: usize) -> String {
+    format!("key-of-workspace-{index}")
+}
+
+/// The hash under which a key stands in the lists and settings.
+#[must_use]
+pub fn key_hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+fn plans(fleet: &Fleet) -> Value {
+    let plan = |index: usize| {
+        json!({
+            "workspace": format!("workspace-{index}"),
+            "key_hashes": [key_hash(&key(index))],
+            "models": [MODEL],
+            "services": [SERVICE],
+            "requests_per_second": 100_000.0,
+            "concurrency": 100_000,
+        })
+    };
+    let workspaces: Vec<_> = (0..fleet.plan.workspaces).map(plan).collect();
+    json!({ "workspaces": workspaces })
+}
+
+fn usage(fleet: &Fleet) -> Value {
+    let engine = |member: &super::EngineMember| {
+        json!({
+            "name": member.name,
+            "domain": member.domain,
+            "address": member.server.address.to_string(),
+            "kind": "engine",
+            "model": MODEL,
+            "checks_fencing": true,
+        })
+    };
+    let worker = |(index, (domain, server)): (usize, &(String, fakes::Server))| {
+        json!({
+            "name": format!("{domain}-worker-{index}"),
+            "domain": domain,
+            "address": server.address.to_string(),
+            "kind": "service",
+            "service": SERVICE,
+        })
+    };
+    let engines = fleet.engines.iter().map(engine);
+    let workers = fleet.workers.iter().enumerate().map(worker);
+    let endpoints: Vec<_> = engines.chain(workers).collect();
+    json!({
+        "models": [{ "name": MODEL, "version": "1" }],
+        "endpoints": endpoints,
+        "services": [{
+            "name": SERVICE,
+            "calls": [
+                { "name": BOOKING, "repeatable": false },
+                { "name": REPORT, "repeatable": true },
+            ],
+        }],
+    })
+}
+
+/// The records that publish both lists.
+pub(super) fn records(fleet: &Fleet) -> Vec<String> {
+    let plans =
+        json!({ "id": "first-plans", "base": 0, "edit": { "replace_plans": plans(fleet) } });
+    let usage =
+        json!({ "id": "first-usage", "base": 0, "edit": { "replace_usage": usage(fleet) } });
+    [plans, usage]
+        .into_iter()
+        .filter_map(|change| serde_json::from_value::<Change>(change).ok())
+        .map(|change| change_record(&change))
+        .collect()
+}
--- /dev/null
+++ b/bin/filbertstage/src/cmd/serve.rs
@@ -0,0 +1,54 @@
+//! `filbertstage --settings FILE`: runs a node until it is told to end.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use node::{Node, Outside};
+use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{EXIT_FAILED, check};
+
+/// Runs the node.
+pub fn run(file: &Path) -> ExitCode {
+    let settings = match check::read(file) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("filbertstage")
+        .build();
+    // A second logger is never installed in this process.
+    let _ = SimpleLogger::init(level, config);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("filbertstage: no worker threads: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let outcome = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_FAILED),
+        Err(error) => {
+            eprintln!("filbertstage: {error}: check listen.callers and listen.nodes");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn serve(settings: node::settings::Settings) -> std::io::Result<bool> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let outside = Outside::remote(&settings);
+    let node = Node::start(settings, outside).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(node.drain().await)
+}
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -150,7 +150,8 @@
             body: Self::body(&start)?,
         };
         let body = self.connection.fetch(call, limit).await?;
-        serde_json::from_slice(&body).map_err(|error| Error::Failed(Fault::Broken, error.to_string()))
+        serde_json::from_slice(&body)
+            .map_err(|error| Error::Failed(Fault::Broken, error.to_string()))
     }
 
     async fn free(&self, attempt: Attempt) -> Result<(), Error> {
@@ -215,13 +216,14 @@
 
 fn parse(event: &volo_http::client::sse::SseEvent) -> Option<Event> {
     let data = event.data()?;
-    if event.event() == "end" {
-        return serde_json::from_str(data).ok().map(Event::End);
+    match event.event() {
+        "progress" => Some(Event::Progress),
+        "end" => serde_json::from_str(data).ok().map(Event::End),
+        _ => Some(Event::Token {
+            index: event.id()?.parse().ok()?,
+            text: serde_json::from_str(data).ok()?,
+        }),
     }
-    Some(Event::Token {
-        index: event.id()?.parse().ok()?,
-        text: serde_json::from_str(data).ok()?,
-    })
 }
 
 inventory::submit! {
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -83,8 +83,7 @@
 }
 
 /// Token counts of an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     /// Tokens of the prompt, as the engine counted them.
     pub prompt_tokens: u64,
@@ -97,6 +96,8 @@
 /// Something that a stream delivers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
+    /// The engine still works on the prompt.
+    Progress,
     /// The answer's token number `index`, from zero.
     Token {
         /// Place in the answer.
@@ -116,8 +117,7 @@
 }
 
 /// News of an engine's prefix cache; may come late and with gaps.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Counts the engine's events.
     pub sequence: u64,
@@ -128,8 +128,7 @@
 }
 
 /// A part of a gang's KV cache.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Names the exported KV cache of all parts so far.
     pub handle: String,
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -37,7 +37,9 @@
             self.connection.reset();
             let response = self.connection.send(call, limit).await.map_err(missing)?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), RECORDED_BYTES).collect().await;
+            let body = Limited::new(response.into_body(), RECORDED_BYTES)
+                .collect()
+                .await;
             let body = body.map_err(|_| Missing::Uncertain)?.to_bytes();
             Ok(Answer {
                 status,
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -16,6 +16,8 @@
 /// What a stream sends to its connection.
 #[derive(Debug)]
 pub enum Item {
+    /// The prompt is still being worked on.
+    Progress,
     /// Token number and text.
     Token(u64, String),
     /// The end marker of a stream.
@@ -102,7 +104,11 @@
         if needed(&body) > setting.kv_total {
             return Err(Refusal::TooLarge);
         }
-        if body.context.as_deref().is_some_and(|handle| context(handle).is_none()) {
+        if body
+            .context
+            .as_deref()
+            .is_some_and(|handle| context(handle).is_none())
+        {
             return Err(Refusal::BadContext);
         }
         self.arrivals += 1;
@@ -156,7 +162,10 @@
         let mut spent = decoding;
         self.runs.sort_by_key(|run| (run.priority, run.arrived));
         for run in self.runs.iter_mut().filter(|run| run.left > 0) {
-            let take = run.left.min(budget).min(run.chunk.saturating_sub(spent).max(1));
+            let take = run
+                .left
+                .min(budget)
+                .min(run.chunk.saturating_sub(spent).max(1));
             let take = if budget == 0 { 0 } else { take };
             run.left -= take;
             budget -= take;
@@ -165,6 +174,17 @@
         Some(setting.step_time(spent))
     }
 
+    /// Tells the streams that have no token yet that they are being worked on.
+    pub fn report_progress(&self) {
+        let queued = self.queued.iter().filter(|(_, part, ..)| !part);
+        for (_, _, sender, _) in queued {
+            let _ = sender.send(Item::Progress);
+        }
+        for run in self.runs.iter().filter(|run| run.left > 0 && !run.part) {
+            run.send(Item::Progress);
+        }
+    }
+
     /// Delivers what the last step computed.
     pub fn deliver(&mut self) {
         let mut ended = Vec::new();
@@ -173,7 +193,8 @@
                 ended.push((run.attempt, run.part || run.silent));
             }
         }
-        self.runs.retain(|run| ended.iter().all(|(attempt, _)| *attempt != run.attempt));
+        self.runs
+            .retain(|run| ended.iter().all(|(attempt, _)| *attempt != run.attempt));
         for (attempt, keep) in ended {
             if !keep {
                 self.held.remove(&attempt);
@@ -183,7 +204,8 @@
 
     fn start_queued(&mut self, setting: &Setting) {
         self.queued.retain(|(_, _, sender, _)| !sender.is_closed());
-        self.queued.sort_by_key(|(body, _, _, arrived)| (body.priority, *arrived));
+        self.queued
+            .sort_by_key(|(body, _, _, arrived)| (body.priority, *arrived));
         while let Some((body, ..)) = self.queued.first() {
             let fits = self.kv_used() + needed(body) <= setting.kv_total;
             if !fits || self.runs.len() >= setting.most_running {
@@ -209,7 +231,11 @@
         let mut digest = seed;
         digest.update(body.prompt.as_bytes());
         let own_tokens = cost::tokens(body.prompt.len());
-        let prefix = if before == 0 { cost::prefix(&body.prompt) } else { Vec::new() };
+        let prefix = if before == 0 {
+            cost::prefix(&body.prompt)
+        } else {
+            Vec::new()
+        };
         let cached = self.cache.cached(&prefix).min(own_tokens.saturating_sub(1));
         self.runs.push(Run {
             attempt: body.attempt,
@@ -237,7 +263,10 @@
             cache.store(&std::mem::take(&mut self.prefix));
         }
         if self.part {
-            self.send(Item::Part(format!("{:x}-{:x}", self.prompt_tokens, self.digest)));
+            self.send(Item::Part(format!(
+                "{:x}-{:x}",
+                self.prompt_tokens, self.digest
+            )));
             return true;
         }
         if self.next < self.length {
--- a/crates/fakes/src/engine/cache.rs
+++ b/crates/fakes/src/engine/cache.rs
@@ -64,9 +64,17 @@
         if excess == 0 {
             return Vec::new();
         }
-        let mut oldest: Vec<_> = self.used.iter().map(|(hash, used)| (*used, *hash)).collect();
+        let mut oldest: Vec<_> = self
+            .used
+            .iter()
+            .map(|(hash, used)| (*used, *hash))
+            .collect();
         oldest.sort_unstable();
-        let evicted: Vec<_> = oldest.into_iter().take(excess).map(|(_, hash)| hash).collect();
+        let evicted: Vec<_> = oldest
+            .into_iter()
+            .take(excess)
+            .map(|(_, hash)| hash)
+            .collect();
         for hash in &evicted {
             self.used.remove(hash);
         }
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -203,16 +203,24 @@
                 "/v1/streams",
                 post(move |request: Request| streams.open(request)).get(move || list.list()),
             )
-            .route("/v1/parts", post(move |request: Request| parts.part(request)))
+            .route(
+                "/v1/parts",
+                post(move |request: Request| parts.part(request)),
+            )
             .route("/v1/free", post(move |request: Request| free.free(request)))
             .route("/v1/report", get(move || report.report()))
             .route("/v1/cache", get(move |uri: http::Uri| cache.cache(uri)))
-            .route("/v1/orders", post(move |request: Request| orders.order(request)));
+            .route(
+                "/v1/orders",
+                post(move |request: Request| orders.order(request)),
+            );
         Server::start(router, 0).await
     }
 
     async fn run(self) {
+        const PROGRESS: Duration = Duration::from_millis(200);
         let mut next = Instant::now();
+        let mut progressed = next;
         loop {
             let stalled = self.state.lock().stalled_until;
             if let Some(until) = stalled {
@@ -227,7 +235,12 @@
             };
             next += step;
             tokio::time::sleep_until(next).await;
-            self.state.lock().batch.deliver();
+            let mut state = self.state.lock();
+            state.batch.deliver();
+            if progressed.elapsed() >= PROGRESS {
+                progressed = Instant::now();
+                state.batch.report_progress();
+            }
         }
     }
 
@@ -276,7 +289,9 @@
                 return error(503, "the engine is gone");
             }
             state.batch.free(body.attempt);
-            state.losing_until.is_some_and(|until| until > Instant::now())
+            state
+                .losing_until
+                .is_some_and(|until| until > Instant::now())
         };
         if losing {
             const LONGER_THAN_ANY_LIMIT: Duration = Duration::from_secs(5);
@@ -400,6 +415,7 @@
     let mut whole = false;
     stream::poll_fn(move |context| {
         receiver.poll_recv(context).map(|item| match item {
+            Some(Item::Progress) => Some(Ok(Event::new().event("progress").data(""))),
             Some(Item::Token(index, text)) => Some(Ok(token_event(index, &text))),
             Some(Item::End(usage)) => {
                 whole = true;
--- a/crates/fakes/src/log.rs
+++ b/crates/fakes/src/log.rs
@@ -116,7 +116,10 @@
         if state.faults.down {
             return Err(Error::Rejected("the log is down".to_owned()));
         }
-        Ok(state.streams.get(stream).map_or_else(Batch::default, |stream| stream.batch(from)))
+        Ok(state
+            .streams
+            .get(stream)
+            .map_or_else(Batch::default, |stream| stream.batch(from)))
     }
 
     async fn delay(&self) {
@@ -164,7 +167,13 @@
         Batch {
             first: self.first,
             end: self.end(),
-            records: self.records.iter().skip(skipped).take(BATCH).cloned().collect(),
+            records: self
+                .records
+                .iter()
+                .skip(skipped)
+                .take(BATCH)
+                .cloned()
+                .collect(),
         }
     }
 }
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -75,7 +75,11 @@
     async fn read(self, stream: String, request: Request) -> Response {
         let from = query(request.uri(), "from").unwrap_or(0);
         let wait = query(request.uri(), "wait_ms").unwrap_or(0);
-        match self.log.read(&stream, from, Duration::from_millis(wait)).await {
+        match self
+            .log
+            .read(&stream, from, Duration::from_millis(wait))
+            .await
+        {
             Ok(batch) => json(200, &batch),
             Err(reason) => error(503, &reason.to_string()),
         }
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -40,7 +40,9 @@
     let mut response = Response::new(Body::from(text));
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
     let kind = http::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
     response
 }
 
@@ -52,6 +54,7 @@
 /// The value of a query parameter.
 pub fn query<T: std::str::FromStr>(uri: &http::Uri, name: &str) -> Option<T> {
     let pairs = uri.query()?.split('&');
-    let mut matching = pairs.filter_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
+    let mut matching =
+        pairs.filter_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
     matching.next()?.1.parse().ok()
 }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -74,7 +74,10 @@
             tokio::time::sleep(LONGER_THAN_ANY_LIMIT).await;
         }
         tokio::time::sleep(faults.delay).await;
-        json(200, &serde_json::json!({ "call": call, "key": key, "execution": count, "echo": body }))
+        json(
+            200,
+            &serde_json::json!({ "call": call, "key": key, "execution": count, "echo": body }),
+        )
     }
 
     fn execute(&self, key: &str) -> (u32, Faults) {
--- a/crates/fakes/src/text.rs
+++ b/crates/fakes/src/text.rs
@@ -18,8 +18,8 @@
 /// Token number `index` of the answer to the prompt with this digest.
 #[must_use]
 pub fn token(digest: u64, index: u64) -> String {
-    let mixed = (digest ^ index.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-        .wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let mixed =
+        (digest ^ index.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     format!("{:05x} ", mixed >> 44)
 }
 
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -94,19 +94,22 @@
     }
 }
 
-/// Longest silence before the first token for a prompt with `floor` of predicted prefill.
+/// Longest silence on a stream before its connection is replaced.
 ///
-/// A connection that is silent for longer is replaced while there is still time for another try.
+/// Engines report progress while they work on a prompt, so the bound does not grow with its length.
 #[must_use]
-pub fn first_token_bound(floor: Duration, remaining: Duration) -> Duration {
-    const LEAST: Duration = Duration::from_secs(2);
-    const FLOORS: u32 = 4;
-    floor.saturating_mul(FLOORS).max(LEAST).min(remaining)
+pub fn silence_bound(remaining: Duration) -> Duration {
+    const LONGEST: Duration = Duration::from_secs(2);
+    LONGEST.min(remaining)
 }
 
-/// Longest silence between two tokens.
+/// Longest time for one part of a gang, whose prefill is predicted to take `predicted`.
 #[must_use]
-pub fn next_token_bound(remaining: Duration) -> Duration {
-    const MOST: Duration = Duration::from_secs(2);
-    MOST.min(remaining)
+pub fn part_bound(predicted: Duration, remaining: Duration) -> Duration {
+    const LEAST: Duration = Duration::from_secs(3);
+    const PREDICTIONS: u32 = 4;
+    predicted
+        .saturating_mul(PREDICTIONS)
+        .max(LEAST)
+        .min(remaining)
 }
--- a/crates/kernel/src/claim.rs
+++ b/crates/kernel/src/claim.rs
@@ -129,7 +129,7 @@
         self.next = self.next.max(first);
     }
 
-    /// Folds the record at `offset`, which the log wrote at `logged_ms` of its own clock.
+    /// Folds the batch of records at `offset`, which the log wrote at `logged_ms` of its own clock.
     ///
     /// The window is measured by the log's clock, so every node forgets a key at the same record.
     pub fn apply(&mut self, now: Instant, offset: u64, logged_ms: u64, record: &str) {
@@ -138,15 +138,21 @@
         }
         self.next = offset + 1;
         self.expire(logged_ms);
-        match serde_json::from_str(record) {
-            Ok(Record::Claim(claim)) => self.claim(now, logged_ms, claim),
-            Ok(Record::Abandon { key, attempt }) => self.abandon(&key, attempt),
-            Ok(Record::Outcome {
+        // Garbage is skipped, as at every other node.
+        for record in serde_json::from_str::<Vec<Record>>(record).unwrap_or_default() {
+            self.fold(now, logged_ms, record);
+        }
+    }
+
+    fn fold(&mut self, now: Instant, logged_ms: u64, record: Record) {
+        match record {
+            Record::Claim(claim) => self.claim(now, logged_ms, claim),
+            Record::Abandon { key, attempt } => self.abandon(&key, attempt),
+            Record::Outcome {
                 key,
                 attempt,
                 answer,
-            }) => self.end(&key, attempt, answer),
-            Err(_) => {}
+            } => self.end(&key, attempt, answer),
         }
     }
 
--- a/crates/kernel/src/lists/mod.rs
+++ b/crates/kernel/src/lists/mod.rs
@@ -4,7 +4,7 @@
 //! how to make them anew. This module checks what a schema cannot say and builds look-up tables.
 
 mod check;
-#[allow(missing_docs, clippy::pedantic, clippy::all)]
+#[allow(dead_code, missing_docs, clippy::pedantic, clippy::all)]
 #[rustfmt::skip]
 mod generated;
 mod table;
--- a/crates/kernel/src/schedule/job.rs
+++ b/crates/kernel/src/schedule/job.rs
@@ -27,6 +27,8 @@
     pub remaining: Duration,
     /// How long the request has waited before this attempt.
     pub waited: Duration,
+    /// Whether the request may wait for gaps between others.
+    pub deferred: bool,
     /// Endpoints that failed this request before.
     pub avoid: Vec<Endpoint>,
 }
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -24,6 +24,9 @@
 /// Share of the pool that one workspace may use while others wait.
 const FLOOD_SHARE: f64 = 0.5;
 
+/// Part of its remaining time by which a deferred request steps back behind others.
+const DEFERRED_PART: f64 = 0.5;
+
 /// What other nodes need to know of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -164,7 +167,12 @@
         let floor = self.floor(now, &job);
         let work = floor.div_f64(self.engines.len().max(1) as f64);
         let arrival = self.clock.arrive(now, &job.workspace, work, FLOOD_SHARE);
-        let rank = arrival.before(job.waited) + floor.mul_f64(self.setting.stretch());
+        let gap = if job.deferred {
+            job.remaining.mul_f64(DEFERRED_PART)
+        } else {
+            Duration::ZERO
+        };
+        let rank = arrival.before(job.waited) + floor.mul_f64(self.setting.stretch()) + gap;
         let rank = if self.policy.eager() { now } else { rank };
         Waiting {
             rank,
--- /dev/null
+++ b/crates/node/src/api/auth.rs
@@ -0,0 +1,80 @@
+//! Who calls: a workspace by its bearer key, or an operator.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use kernel::lists::Plan;
+use kernel::outcome::Refusal;
+use kernel::prelude::*;
+use sha2::{Digest, Sha256};
+
+use crate::shared::Shared;
+
+/// A caller with its plan.
+pub(super) struct Caller {
+    pub workspace: Workspace,
+    pub plan: Plan,
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(http::header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ")
+}
+
+/// The workspace whose key the request carries.
+pub(super) fn caller(shared: &Shared, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    if !shared.tables.fold.lock().state().complete() {
+        const RETRY_AFTER: Duration = Duration::from_secs(1);
+        let what = "the node has no plan and usage lists yet".to_owned();
+        return Err(Refusal::Unavailable(what, RETRY_AFTER));
+    }
+    let lists = shared.tables.lists();
+    let key = bearer(headers).ok_or(Refusal::Unauthorized)?;
+    let workspace = lists.workspace(key).ok_or(Refusal::Unauthorized)?;
+    let plan = lists.plan(workspace).ok_or(Refusal::Unauthorized)?;
+    Ok(Caller {
+        workspace: workspace.clone(),
+        plan: plan.clone(),
+    })
+}
+
+/// Lets only operators pass.
+pub(super) fn operator(shared: &Shared, headers: &HeaderMap) -> Result<(), Refusal> {
+    let what = || "not an operator's key".to_owned();
+    let remedy = || {
+        "send a key whose hash is in operator_key_hashes as 'Authorization: Bearer KEY'".to_owned()
+    };
+    let refused = || Refusal::Forbidden(what(), remedy());
+    let key = bearer(headers).ok_or_else(refused)?;
+    let hash = hex::encode(Sha256::digest(key.as_bytes()));
+    let known = &shared.settings.operator_key_hashes;
+    let matching = known.iter().filter(|known| same(known, &hash)).count();
+    if matching > 0 { Ok(()) } else { Err(refused()) }
+}
+
+/// Compares in constant time.
+fn same(left: &str, right: &str) -> bool {
+    use subtle::ConstantTimeEq;
+    left.as_bytes().ct_eq(right.as_bytes()).into()
+}
+
+/// The number in header `name`.
+pub(super) fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    let invalid = || {
+        let what = format!("header {name} is not a whole number");
+        Refusal::Invalid(what, "send digits only".to_owned())
+    };
+    number.map(Some).ok_or_else(invalid)
+}
+
+/// The text in header `name`, or an empty one.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/node/src/api/mod.rs
@@ -0,0 +1,261 @@
+//! The HTTP interface for callers and operators.
+
+mod answer;
+mod auth;
+mod error;
+mod prompt;
+mod service;
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use kernel::lists::Change;
+use kernel::outcome::Refusal;
+use kernel::request::Id;
+use serde_json::{Value, json};
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, get, post};
+
+use crate::shared::Shared;
+use crate::{deferred, follow, status, telemetry};
+
+pub(crate) use answer::run_deferred;
+
+/// The routes of a node.
+pub(crate) fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(with(shared, answer::chat)))
+        .route("/v1/completions", post(with(shared, answer::text)))
+        .route("/v1/models", get(with(shared, models)))
+        .route(
+            "/v1/services/{service}/{call}",
+            post(with_path(shared, service::call)),
+        )
+        .route("/v1/deferred/{id}", get(with_path(shared, fetch)))
+        .route("/operator/status", get(with(shared, operator_status)))
+        .route(
+            "/operator/explain/{id}",
+            get(with_path(shared, operator_explain)),
+        )
+        .route("/operator/publish", post(with(shared, operator_publish)))
+        .route("/operator/lists", get(with(shared, operator_lists)))
+        .route("/metrics", get(with(shared, metrics)))
+        .route("/healthz", get(with(shared, healthy)))
+        .route("/readyz", get(with(shared, ready)))
+}
+
+/// A handler's answer, or the refusal that becomes one.
+type Answer = Result<Response, Refusal>;
+
+/// Binds a handler to the node.
+fn with<F, Fut>(
+    shared: &Arc<Shared>,
+    handler: F,
+) -> impl FnOnce(Request) -> std::pin::Pin<Box<dyn Future<Output = Response> + Send>>
++ Clone
++ Send
++ use<F, Fut>
+where
+    F: FnOnce(Arc<Shared>, Request) -> Fut + Clone + Send,
+    Fut: Future<Output = Answer> + Send + 'static,
+{
+    let shared = Arc::clone(shared);
+    move |request: Request| {
+        let answer = handler(shared, request);
+        Box::pin(async move {
+            answer
+                .await
+                .unwrap_or_else(|refusal| error::response(&refusal, None))
+        })
+    }
+}
+
+/// Binds a handler that takes a part of the path to the node.
+fn with_path<P, F, Fut>(
+    shared: &Arc<Shared>,
+    handler: F,
+) -> impl FnOnce(PathParams<P>, Request) -> std::pin::Pin<Box<dyn Future<Output = Response> + Send>>
++ Clone
++ Send
++ use<P, F, Fut>
+where
+    F: FnOnce(Arc<Shared>, P, Request) -> Fut + Clone + Send,
+    Fut: Future<Output = Answer> + Send + 'static,
+{
+    let shared = Arc::clone(shared);
+    move |path: PathParams<P>, request: Request| {
+        let answer = handler(shared, path.0, request);
+        Box::pin(async move {
+            answer
+                .await
+                .unwrap_or_else(|refusal| error::response(&refusal, None))
+        })
+    }
+}
+
+fn json_response(status: StatusCode, body: &Value) -> Response {
+    let mut response = Response::new(Body::from(body.to_string()));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+fn text_response(status: StatusCode, text: String) -> Response {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a body whole, up to the limit of the settings.
+async fn read_body(shared: &Shared, body: Body) -> Result<Vec<u8>, Refusal> {
+    let limit = shared.settings.admission.body_bytes;
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes().into()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let what = format!("the body is larger than {limit} bytes");
+            Err(Refusal::Invalid(what, "send a smaller one".to_owned()))
+        }
+        Err(_) => {
+            let what = "the body did not arrive whole".to_owned();
+            Err(Refusal::Invalid(what, "send it again".to_owned()))
+        }
+    }
+}
+
+async fn models(shared: Arc<Shared>, request: Request) -> Answer {
+    let caller = auth::caller(&shared, request.headers())?;
+    let lists = shared.tables.lists();
+    let listed = lists.usage().models.iter().filter(|model| {
+        caller
+            .plan
+            .models
+            .iter()
+            .any(|name| name == model.name.as_str())
+    });
+    let entries: Vec<_> = listed
+        .map(|model| {
+            json!({
+                "id": model.name.as_str(),
+                "object": "model",
+                "created": 0,
+                "owned_by": "filbertstage",
+            })
+        })
+        .collect();
+    Ok(json_response(
+        StatusCode::OK,
+        &json!({ "object": "list", "data": entries }),
+    ))
+}
+
+async fn fetch(shared: Arc<Shared>, id: String, request: Request) -> Answer {
+    let caller = auth::caller(&shared, request.headers())?;
+    let unknown = || {
+        let what = format!("no deferred request {id:?}");
+        Refusal::NotFound(what, "use the id from the 202 answer".to_owned())
+    };
+    let parsed: Id = id.parse().map_err(|_| unknown())?;
+    let kept = deferred::find_anywhere(&shared, parsed).await;
+    let kept = kept
+        .filter(|kept| kept.workspace == caller.workspace)
+        .ok_or_else(unknown)?;
+    match kept.answer {
+        Some((status, body)) => {
+            let status = StatusCode::from_u16(status).unwrap_or_default();
+            let body = serde_json::from_str(&body).unwrap_or(Value::Null);
+            Ok(json_response(status, &body))
+        }
+        None => Ok(json_response(
+            StatusCode::ACCEPTED,
+            &json!({ "id": id, "status": "pending" }),
+        )),
+    }
+}
+
+async fn operator_status(shared: Arc<Shared>, request: Request) -> Answer {
+    auth::operator(&shared, request.headers())?;
+    Ok(json_response(StatusCode::OK, &status::fleet(&shared).await))
+}
+
+async fn operator_explain(shared: Arc<Shared>, id: String, request: Request) -> Answer {
+    auth::operator(&shared, request.headers())?;
+    let parsed: Id = id.parse().map_err(|error: kernel::request::ParseError| {
+        Refusal::Invalid(format!("{id:?}"), error.to_string())
+    })?;
+    Ok(json_response(
+        StatusCode::OK,
+        &status::explain(&shared, parsed).await,
+    ))
+}
+
+async fn metrics(shared: Arc<Shared>, _request: Request) -> Answer {
+    use std::sync::atomic::Ordering;
+    let host = shared.host.as_str();
+    telemetry::gauge(
+        "filbertstage_running",
+        host,
+        shared.running.load(Ordering::SeqCst),
+    );
+    telemetry::gauge(
+        "filbertstage_held_at_endpoints",
+        host,
+        shared.tables.ledger.lock().len(),
+    );
+    let waiting = shared
+        .tables
+        .pools
+        .lock()
+        .values()
+        .map(|slot| slot.pool.waiting())
+        .sum();
+    telemetry::gauge("filbertstage_waiting", host, waiting);
+    Ok(text_response(StatusCode::OK, telemetry::render()))
+}
+
+async fn healthy(_shared: Arc<Shared>, _request: Request) -> Answer {
+    Ok(text_response(StatusCode::OK, "alive\n".to_owned()))
+}
+
+async fn ready(shared: Arc<Shared>, _request: Request) -> Answer {
+    if shared.ready() {
+        return Ok(text_response(StatusCode::OK, "ready\n".to_owned()));
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Ok(text_response(
+        status,
+        "not ready: draining, or no lists yet\n".to_owned(),
+    ))
+}
+
+/// Handles `/operator/publish`: appends a change and answers with its verdict.
+async fn operator_publish(shared: Arc<Shared>, request: Request) -> Answer {
+    let (parts, body) = request.into_parts();
+    auth::operator(&shared, &parts.headers)?;
+    let body = read_body(&shared, body).await?;
+    let change: Change = serde_json::from_slice(&body).map_err(|error| {
+        let what = format!("the body is not a change: {error}");
+        Refusal::Invalid(what, "follow schemas/lists.schema.json".to_owned())
+    })?;
+    let verdict = follow::publish_change(&shared, &change).await?;
+    Ok(json_response(StatusCode::OK, &json!(verdict)))
+}
+
+/// Handles `/operator/lists`: the lists in force with their versions.
+async fn operator_lists(shared: Arc<Shared>, request: Request) -> Answer {
+    auth::operator(&shared, request.headers())?;
+    let state = shared.tables.fold.lock().state().clone();
+    let lists = json!({
+        "plans_version": state.plans_version,
+        "plans": state.plans,
+        "usage_version": state.usage_version,
+        "usage": state.usage,
+    });
+    Ok(json_response(StatusCode::OK, &lists))
+}
--- /dev/null
+++ b/crates/node/src/api/service.rs
@@ -0,0 +1,97 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use kernel::admission::{self, Context, Target};
+use kernel::outcome::Refusal;
+use kernel::prelude::*;
+use kernel::share::Need;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::{Answer, auth, error, read_body, text_response};
+use crate::call::{self, Call};
+use crate::limits;
+use crate::shared::{Running, Shared};
+use crate::telemetry;
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 256;
+
+/// Handles `/v1/services/{service}/{call}`.
+pub(super) async fn call(shared: Arc<Shared>, path: (String, String), request: Request) -> Answer {
+    let id = shared.next_id();
+    let (parts, body) = request.into_parts();
+    let caller = auth::caller(&shared, &parts.headers)?;
+    let asked = auth::number(&parts.headers, "x-request-timeout-ms")?.map(Duration::from_millis);
+    let key = auth::text(&parts.headers, "idempotency-key").to_owned();
+    if key.len() > KEY_BYTES {
+        let what = format!("the idempotency key is longer than {KEY_BYTES} bytes");
+        return Err(Refusal::Invalid(what, "send a shorter one".to_owned()));
+    }
+    let context = Context {
+        plan: &caller.plan,
+        target: Target::Service(&path.0),
+        prompt_tokens: 0,
+        answer_tokens: 0,
+        time_limit: asked,
+    };
+    admission::check(&shared.settings.admission.rules, &context)?;
+    let running = Running::enter(&shared).ok_or(Refusal::Overloaded(Duration::from_secs(1)))?;
+    let deadline = shared.now() + admission::time_limit(&caller.plan, asked);
+    let body = read_body(&shared, body).await?;
+    let body = String::from_utf8(body).map_err(|_| {
+        Refusal::Invalid("the body is not text".to_owned(), "send UTF-8".to_owned())
+    })?;
+    let place = limits::take(&shared, &caller.workspace, Need { tokens: 0 }).await?;
+    let call = Call {
+        id,
+        workspace: caller.workspace,
+        service: Service::from(path.0),
+        call: path.1,
+        key,
+        body,
+        deadline,
+        forwarded: false,
+    };
+    // The call goes on when the caller goes away, so that its outcome is recorded.
+    let task = tokio::spawn({
+        let shared = Arc::clone(&shared);
+        async move {
+            let outcome = call::run(&shared, call).await;
+            drop((running, place));
+            outcome
+        }
+    });
+    let outcome = task
+        .await
+        .unwrap_or_else(|_| Err(Refusal::Unknown("of this call".to_owned())));
+    Ok(respond(&shared, id, outcome))
+}
+
+fn respond(
+    shared: &Shared,
+    id: kernel::request::Id,
+    outcome: Result<kernel::claim::Answer, Refusal>,
+) -> Response {
+    let answer = match outcome {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            telemetry::ended(refusal.code());
+            shared.note(id, refusal.code(), refusal.to_string());
+            return error::response(&refusal, Some(id));
+        }
+    };
+    telemetry::ended("whole");
+    shared.note(id, "whole", format!("status={}", answer.status));
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = text_response(status, answer.body);
+    let kind = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    error::stamp(&mut response, id);
+    response
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,39 @@
+//! A node: the kernel's decisions wired to sockets, a worker pool, metrics and traces.
+//!
+//! The central type is [`Node`]: read its settings, start it, drain it.
+//!
+//! ```no_run
+//! use filbertstage_node::{Node, Outside, settings::Settings};
+//!
+//! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = Settings::read(&std::fs::read_to_string("filbertstage.json")?)?;
+//! let outside = Outside::remote(&settings);
+//! let node = Node::start(settings, outside).await?;
+//! node.drain().await;
+//! # Ok(())
+//! # }
+//! ```
 
+mod api;
+mod call;
+mod claims;
+mod deferred;
+mod dispatch;
+mod follow;
+mod gossip;
+pub mod invariant;
+mod limits;
+mod node;
+mod peer;
+mod repair;
+mod serve;
+pub mod settings;
+mod shared;
+mod status;
+mod tables;
+pub mod telemetry;
+mod trace;
+mod watch;
+
+pub use node::Node;
+pub use shared::{Clock, Outside, SystemClock};
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,104 @@
+//! Plan limits at this node, and borrowing parts of them from other nodes.
+
+use std::sync::Arc;
+
+use kernel::outcome::Refusal;
+use kernel::prelude::*;
+use kernel::share::{Limit, Need};
+use rand::seq::SliceRandom;
+use wire::{Borrow, Frame};
+
+use crate::peer;
+use crate::shared::Shared;
+
+/// Nodes that are asked before a request is refused.
+const LENDERS: usize = 4;
+
+/// The place of a request in its workspace's limits; given back when it is dropped.
+pub(crate) struct Place {
+    shared: Arc<Shared>,
+    workspace: Workspace,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.tables.meter.lock().release(&self.workspace);
+    }
+}
+
+/// Takes what a request needs, borrowing from other nodes where the own part is used up.
+pub(crate) async fn take(
+    shared: &Arc<Shared>,
+    workspace: &Workspace,
+    need: Need,
+) -> Result<Place, Refusal> {
+    let lists = shared.tables.lists();
+    let plan = lists.plan(workspace).ok_or(Refusal::Unauthorized)?;
+    let try_take = || {
+        let now = shared.now();
+        shared.tables.meter.lock().take(now, workspace, plan, need)
+    };
+    let place = || Place {
+        shared: Arc::clone(shared),
+        workspace: workspace.clone(),
+    };
+    let Err((limit, mut refusal)) = try_take() else {
+        return Ok(place());
+    };
+    for lender in lenders(shared) {
+        let asked = shared.now();
+        let borrow = Borrow {
+            workspace: workspace.clone(),
+            limit,
+        };
+        let answer = shared.peers.ask(lender, &Frame::Borrow(borrow)).await;
+        let Ok(Frame::Lent(amount)) = answer else {
+            continue;
+        };
+        if amount <= 0.0 {
+            continue;
+        }
+        let now = shared.now();
+        shared
+            .tables
+            .meter
+            .lock()
+            .borrow(asked, now, workspace, plan, (limit, amount));
+        match try_take() {
+            Ok(()) => return Ok(place()),
+            Err((_, again)) => refusal = again,
+        }
+    }
+    Err(refusal)
+}
+
+fn lenders(shared: &Shared) -> Vec<std::net::SocketAddr> {
+    let now = shared.now();
+    let mut others: Vec<_> = {
+        let members = shared.tables.members.lock();
+        members
+            .live(now)
+            .into_iter()
+            .skip(1)
+            .filter_map(peer::address)
+            .collect()
+    };
+    shared.with_random(|random| others.shuffle(random));
+    others.truncate(LENDERS);
+    others
+}
+
+/// Lends a part that this node does not use.
+pub(crate) fn lend(shared: &Shared, borrow: &Borrow) -> f64 {
+    let lists = shared.tables.lists();
+    let Some(plan) = lists.plan(&borrow.workspace) else {
+        return 0.0;
+    };
+    let limit: Limit = borrow.limit;
+    let now = shared.now();
+    shared
+        .tables
+        .meter
+        .lock()
+        .lend(now, &borrow.workspace, plan, limit)
+}
--- /dev/null
+++ b/crates/node/src/settings/mod.rs
@@ -0,0 +1,255 @@
+//! The settings of a node: one typed tree with a default for every key that can have one.
+//!
+//! ```
+//! use filbertstage_node::settings::Settings;
+//!
+//! let text = r#"{
+//!     // Comments are allowed.
+//!     "host": "entry-1", "domain": "charnwood", "fleet_key": "0123456789abcdef0123456789abcdef",
+//! }"#;
+//! assert_eq!(Settings::read(text).expect("valid").host, "entry-1");
+//! assert!(Settings::read(r#"{"hosts": 1}"#).is_err());
+//! ```
+
+mod check;
+mod source;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kernel::schedule;
+use serde::{Deserialize, Serialize};
+
+pub use source::{Problem, Problems};
+
+/// All settings of a node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host; unique in the fleet.
+    pub host: String,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Secret that all nodes share.
+    pub fleet_key: String,
+    /// SHA-256 hashes of the keys that may read status and decisions.
+    pub operator_key_hashes: Vec<String>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Nodes to greet before the host list is known.
+    pub contacts: Vec<SocketAddr>,
+    /// The platform's services.
+    pub platform: Platform,
+    /// Scheduling and routing.
+    pub routing: Routing,
+    /// What is let in.
+    pub admission: Admission,
+    /// Bounds in time.
+    pub times: Times,
+    /// Logs.
+    pub log: Log,
+    /// Traces.
+    pub trace: Trace,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP, for callers, operators and metrics.
+    pub callers: SocketAddr,
+    /// TCP and UDP, for other nodes.
+    pub nodes: SocketAddr,
+    /// The address under which other nodes reach this one; `nodes` where it is not set.
+    pub advertise: Option<SocketAddr>,
+}
+
+/// The platform's services.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Platform {
+    /// HTTP address of the log, the host list and the weight store.
+    pub address: SocketAddr,
+}
+
+/// Scheduling and routing.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Routing {
+    /// Name of a registered policy.
+    pub policy: String,
+    /// Weight of short requests, from 0 (all lengths alike) to 1 (short ones first).
+    pub short_weight: f64,
+    /// Work that an engine is given ahead, in milliseconds of prefill.
+    pub window_ms: u64,
+    /// Prompt tokens in one engine step for a long prompt at weight 0.
+    pub chunk_even_tokens: u64,
+    /// Prompt tokens in one engine step for a long prompt at weight 1.
+    pub chunk_short_first_tokens: u64,
+    /// Predicted gain from which a request goes to another failure domain, in milliseconds.
+    pub spill_gain_ms: u64,
+}
+
+/// What is let in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Admission {
+    /// Names of registered rules, in the order of their checks.
+    pub rules: Vec<String>,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Most headers of a request.
+    pub headers: usize,
+    /// Most requests at once at this node.
+    pub requests: usize,
+}
+
+/// Bounds in time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Times {
+    /// Longest time to drain, in milliseconds.
+    pub drain_ms: u64,
+    /// How long an idempotency key is remembered, in milliseconds; less than the log's retention.
+    pub claim_window_ms: u64,
+    /// Time between two looks at an endpoint, in milliseconds.
+    pub watch_ms: u64,
+}
+
+/// Logs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Least level: error, warn, info, debug or trace.
+    pub level: String,
+}
+
+/// Traces.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Trace {
+    /// HTTP address of an OpenTelemetry collector; spans go to the log where it is not set.
+    pub collector: Option<SocketAddr>,
+}
+
+const fn local(port: u16) -> SocketAddr {
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), port)
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            host: String::new(),
+            domain: String::new(),
+            fleet_key: String::new(),
+            operator_key_hashes: Vec::new(),
+            listen: Listen::default(),
+            contacts: Vec::new(),
+            platform: Platform::default(),
+            routing: Routing::default(),
+            admission: Admission::default(),
+            times: Times::default(),
+            log: Log::default(),
+            trace: Trace::default(),
+        }
+    }
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        Self {
+            callers: local(8_080),
+            nodes: local(8_081),
+            advertise: None,
+        }
+    }
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            address: local(9_000),
+        }
+    }
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        let setting = schedule::Setting::default();
+        Self {
+            policy: setting.policy,
+            short_weight: setting.short_weight,
+            window_ms: 20,
+            chunk_even_tokens: setting.chunk_even,
+            chunk_short_first_tokens: setting.chunk_short_first,
+            spill_gain_ms: 100,
+        }
+    }
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            rules: ["allowed", "prompt_size", "time_limit"]
+                .map(str::to_owned)
+                .to_vec(),
+            body_bytes: 16 * 1_024 * 1_024,
+            headers: 64,
+            requests: 20_000,
+        }
+    }
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            drain_ms: 120_000,
+            claim_window_ms: 3_600_000,
+            watch_ms: 250,
+        }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks settings from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// All problems at once, each with its line, its key and the remedy.
+    pub fn read(text: &str) -> Result<Self, Problems> {
+        let document = source::Document::parse(text)?;
+        let (settings, mut problems) = document.settings();
+        problems.extend(check::check(&settings, &document));
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        problems.sort_by_key(|problem| problem.line);
+        Err(Problems(problems))
+    }
+
+    /// The address under which other nodes reach this one.
+    #[must_use]
+    pub fn advertised(&self) -> SocketAddr {
+        self.listen.advertise.unwrap_or(self.listen.nodes)
+    }
+
+    /// The scheduling part, as the kernel takes it.
+    #[must_use]
+    pub fn schedule(&self) -> schedule::Setting {
+        schedule::Setting {
+            policy: self.routing.policy.clone(),
+            short_weight: self.routing.short_weight,
+            window: Duration::from_millis(self.routing.window_ms),
+            chunk_even: self.routing.chunk_even_tokens,
+            chunk_short_first: self.routing.chunk_short_first_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/source.rs
@@ -0,0 +1,181 @@
+//! Reads JSON with comments into settings and finds the line of each problem.
+
+use std::fmt;
+
+use jsonc_parser::ast::{self, ObjectPropName};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use serde_json::Value;
+
+use super::Settings;
+
+/// One thing that is wrong with the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Line of the text, from one; 0 where it is the whole text.
+    pub line: usize,
+    /// The key, such as `routing.policy`.
+    pub key: String,
+    /// What is wrong, and the remedy.
+    pub message: String,
+}
+
+/// All that is wrong with the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problems(pub Vec<Problem>);
+
+impl fmt::Display for Problem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "line {}: {}: {}",
+            self.line, self.key, self.message
+        )
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<_> = self.0.iter().map(ToString::to_string).collect();
+        formatter.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Problems {}
+
+/// A parsed text that remembers where each key stands.
+pub(super) struct Document<'a> {
+    text: &'a str,
+    root: ast::Value<'a>,
+}
+
+impl<'a> Document<'a> {
+    pub fn parse(text: &'a str) -> Result<Self, Problems> {
+        let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
+        let broken = |line, message: String| {
+            Problems(vec![Problem {
+                line,
+                key: "the text".to_owned(),
+                message,
+            }])
+        };
+        match parsed {
+            Ok(result) => match result.value {
+                Some(root @ ast::Value::Object(_)) => Ok(Self { text, root }),
+                _ => Err(broken(
+                    1,
+                    "not a JSON object: write the settings as {\"host\": ...}".to_owned(),
+                )),
+            },
+            Err(error) => {
+                let line = error.line_display();
+                Err(broken(line, format!("{}: correct the JSON", error.kind())))
+            }
+        }
+    }
+
+    /// Reads the settings; a key that cannot be read keeps its default and is a problem.
+    pub fn settings(&self) -> (Settings, Vec<Problem>) {
+        let mut value = Value::from(self.root.clone());
+        let mut problems = Vec::new();
+        loop {
+            let error = match serde_path_to_error::deserialize(&value) {
+                Ok(settings) => return (settings, problems),
+                Err(error) => error,
+            };
+            let key = error.path().to_string();
+            problems.push(self.problem(&key, &explain(&error.into_inner().to_string())));
+            if !remove(&mut value, &key) {
+                return (Settings::default(), problems);
+            }
+        }
+    }
+
+    /// A problem with the key at `path`.
+    pub fn problem(&self, path: &str, message: &str) -> Problem {
+        Problem {
+            line: self.line(path),
+            key: path.to_owned(),
+            message: message.to_owned(),
+        }
+    }
+
+    fn line(&self, path: &str) -> usize {
+        let mut value = &self.root;
+        let mut start = value.range().start;
+        for segment in segments(path) {
+            let next = match value {
+                ast::Value::Object(object) => object.properties.iter().find_map(|property| {
+                    let name = property_name(&property.name);
+                    (name == segment).then_some((property.range.start, &property.value))
+                }),
+                ast::Value::Array(array) => segment
+                    .parse::<usize>()
+                    .ok()
+                    .and_then(|index| array.elements.get(index))
+                    .map(|element| (element.range().start, element)),
+                _ => None,
+            };
+            let Some((position, inner)) = next else {
+                break;
+            };
+            start = position;
+            value = inner;
+        }
+        self.text[..start].matches('\n').count() + 1
+    }
+}
+
+fn property_name<'a>(name: &'a ObjectPropName<'_>) -> &'a str {
+    match name {
+        ObjectPropName::String(literal) => &literal.value,
+        ObjectPropName::Word(word) => word.value,
+    }
+}
+
+fn segments(path: &str) -> impl Iterator<Item = &str> {
+    path.split(['.', '[', ']'])
+        .filter(|segment| !segment.is_empty())
+}
+
+/// Removes the value at `path`; returns false when there is none.
+fn remove(value: &mut Value, path: &str) -> bool {
+    let mut segments: Vec<_> = segments(path).collect();
+    let Some(last) = segments.pop() else {
+        return false;
+    };
+    let mut parent = value;
+    for segment in segments {
+        let inner = match parent {
+            Value::Object(object) => object.get_mut(segment),
+            Value::Array(array) => segment
+                .parse::<usize>()
+                .ok()
+                .and_then(|index| array.get_mut(index)),
+            _ => None,
+        };
+        let Some(inner) = inner else {
+            return false;
+        };
+        parent = inner;
+    }
+    match parent {
+        Value::Object(object) => object.remove(last).is_some(),
+        Value::Array(array) => match last.parse::<usize>() {
+            Ok(index) if index < array.len() => {
+                array.remove(index);
+                true
+            }
+            _ => false,
+        },
+        _ => false,
+    }
+}
+
+/// Adds the remedy to the message of the deserializer.
+fn explain(message: &str) -> String {
+    if let Some(rest) = message.strip_prefix("unknown field ") {
+        return format!("unknown key {rest}: correct the name or remove it");
+    }
+    format!("{message}: correct the value")
+}
--- /dev/null
+++ b/crates/node/src/telemetry.rs
@@ -0,0 +1,58 @@
+//! Metrics for Prometheus.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use kernel::cost::Band;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder; all nodes of a process share it.
+pub fn install() {
+    const BUCKETS: [f64; 12] = [
+        0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0, 300.0,
+    ];
+    HANDLE.get_or_init(|| {
+        let builder = PrometheusBuilder::new().set_buckets(&BUCKETS).ok()?;
+        builder.install_recorder().ok()
+    });
+}
+
+/// The metrics as text for Prometheus.
+#[must_use]
+pub fn render() -> String {
+    let handle = HANDLE.get().and_then(Option::as_ref);
+    handle.map_or_else(String::new, |handle| {
+        handle.run_upkeep();
+        handle.render()
+    })
+}
+
+/// Counts a request that has ended.
+pub(crate) fn ended(code: &'static str) {
+    metrics::counter!("filbertstage_requests_total", "outcome" => code).increment(1);
+}
+
+/// Counts an attempt that ended with a fault.
+pub(crate) fn fault(fault: &'static str) {
+    metrics::counter!("filbertstage_attempt_faults_total", "fault" => fault).increment(1);
+}
+
+/// Counts a token that arrived again and was dropped.
+pub(crate) fn dropped() {
+    metrics::counter!("filbertstage_tokens_dropped_total").increment(1);
+}
+
+/// Notes the time to the first token.
+pub(crate) fn first_token(prompt_tokens: u64, took: Duration) {
+    let band = Band::of(prompt_tokens).tokens_up_to.to_string();
+    metrics::histogram!("filbertstage_first_token_seconds", "tokens_up_to" => band)
+        .record(took.as_secs_f64());
+}
+
+/// Sets a gauge of the node.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn gauge(name: &'static str, host: &str, value: usize) {
+    metrics::gauge!(name, "host" => host.to_owned()).set(value as f64);
+}
--- /dev/null
+++ b/crates/node/src/trace.rs
@@ -0,0 +1,167 @@
+//! Traces with a span for each hop, in the W3C format.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::{SpanKind, TraceContextExt, Tracer, TracerProvider};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_http::{HttpClient, HttpError};
+use opentelemetry_otlp::{WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider, SpanData, SpanExporter};
+use platform::http::{Call, Connection};
+
+use crate::settings::Settings;
+
+const PARENT: &str = "traceparent";
+
+/// Makes spans and sends them to a collector or to the log.
+pub(crate) struct Tracing {
+    provider: SdkTracerProvider,
+    tracer: SdkTracer,
+}
+
+impl Tracing {
+    pub fn new(settings: &Settings) -> Self {
+        let builder = SdkTracerProvider::builder();
+        let provider = match settings.trace.collector.and_then(collector) {
+            Some(exporter) => builder.with_batch_exporter(exporter).build(),
+            None if log::log_enabled!(log::Level::Debug) => {
+                builder.with_simple_exporter(LogExporter).build()
+            }
+            None => builder.with_sampler(Sampler::AlwaysOff).build(),
+        };
+        let tracer = provider.tracer("filbertstage");
+        Self { provider, tracer }
+    }
+
+    /// A span for a hop that continues `parent`, the text of a `traceparent` header.
+    pub fn root(&self, name: &'static str, parent: &str) -> Span {
+        let carrier = HashMap::from([(PARENT.to_owned(), parent.to_owned())]);
+        let context = TraceContextPropagator::new().extract_with_context(&Context::new(), &carrier);
+        self.span(name, SpanKind::Server, &context)
+    }
+
+    /// A span for a hop below `parent`.
+    pub fn child(&self, name: &'static str, parent: &Span) -> Span {
+        self.span(name, SpanKind::Client, &parent.0)
+    }
+
+    fn span(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Span {
+        let builder = self.tracer.span_builder(name).with_kind(kind);
+        let span = self.tracer.build_with_context(builder, parent);
+        Span(Context::new().with_span(span))
+    }
+
+    /// Sends what has not been sent.
+    pub fn flush(&self) {
+        if let Err(error) = self.provider.force_flush() {
+            log::warn!("event=trace_flush_failed error={error:?}");
+        }
+    }
+}
+
+/// One hop of a request; ends when it is dropped.
+pub(crate) struct Span(Context);
+
+impl Span {
+    /// Adds a fact to the span.
+    pub fn set(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+        self.0.span().set_attribute(KeyValue::new(key, value));
+    }
+
+    /// The `traceparent` header for the next hop.
+    pub fn header(&self) -> String {
+        let mut carrier = HashMap::new();
+        TraceContextPropagator::new().inject_context(&self.0, &mut carrier);
+        carrier.remove(PARENT).unwrap_or_default()
+    }
+}
+
+impl Drop for Span {
+    fn drop(&mut self) {
+        self.0.span().end();
+    }
+}
+
+/// Writes spans to the log.
+#[derive(Debug)]
+struct LogExporter;
+
+impl SpanExporter for LogExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        for span in batch {
+            let took = span
+                .end_time
+                .duration_since(span.start_time)
+                .unwrap_or_default();
+            log::debug!(
+                "event=span name={} trace={} span={} parent={} micros={}",
+                span.name,
+                span.span_context.trace_id(),
+                span.span_context.span_id(),
+                span.parent_span_id,
+                took.as_micros()
+            );
+        }
+        Ok(())
+    }
+}
+
+fn collector(address: SocketAddr) -> Option<opentelemetry_otlp::SpanExporter> {
+    let client = CollectorClient {
+        connection: std::sync::Arc::new(Connection::new(address)),
+        runtime: tokio::runtime::Handle::try_current().ok()?,
+    };
+    let built = opentelemetry_otlp::SpanExporter::builder()
+        .with_http()
+        .with_http_client(client)
+        .with_endpoint(format!("http://{address}/v1/traces"))
+        .build();
+    match built {
+        Ok(exporter) => Some(exporter),
+        Err(error) => {
+            log::warn!("event=trace_collector_unusable error={error:?}");
+            None
+        }
+    }
+}
+
+/// Sends spans with the product's own HTTP client.
+struct CollectorClient {
+    connection: std::sync::Arc<Connection>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl std::fmt::Debug for CollectorClient {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "CollectorClient({})", self.connection.address())
+    }
+}
+
+#[async_trait]
+impl HttpClient for CollectorClient {
+    async fn send_bytes(
+        &self,
+        request: http::Request<Bytes>,
+    ) -> Result<http::Response<Bytes>, HttpError> {
+        const LIMIT: std::time::Duration = std::time::Duration::from_secs(2);
+        let connection = self.connection.clone();
+        let sent = self.runtime.spawn(async move {
+            let headers = [("content-type", "application/x-protobuf")];
+            let call = Call {
+                method: http::Method::POST,
+                path: "/v1/traces",
+                headers: &headers,
+                body: request.into_body(),
+            };
+            connection.fetch(call, LIMIT).await
+        });
+        let body = sent.await??;
+        Ok(http::Response::new(body))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -38,8 +38,7 @@
 }
 
 /// A record as the log returns it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The record's offset in its stream.
     pub offset: u64,
@@ -50,8 +49,7 @@
 }
 
 /// Records read from a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// The oldest offset that the log still keeps.
     pub first: u64,
@@ -72,8 +70,7 @@
 }
 
 /// A host as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The host.
     pub host: Host,
@@ -93,8 +90,7 @@
 }
 
 /// How busy the weight store is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Copies of weights that are being read now.
     pub reading: u32,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,8 +1,8 @@
 //! Heartbeats as UDP datagrams.
 
+use crate::Error;
 use crate::frame::Heartbeat;
 use crate::seal::{self, TAG_BYTES};
-use crate::Error;
 
 /// Largest datagram that is sent, in bytes.
 pub const LARGEST: usize = 8 * 1_024;
@@ -28,7 +28,9 @@
 ///
 /// [`Error::Forged`] for another key or a changed datagram, [`Error::Malformed`] otherwise.
 pub fn decode(key: &[u8], datagram: &[u8]) -> Result<Heartbeat, Error> {
-    let (tag, body) = datagram.split_at_checked(TAG_BYTES).ok_or(Error::Malformed)?;
+    let (tag, body) = datagram
+        .split_at_checked(TAG_BYTES)
+        .ok_or(Error::Malformed)?;
     seal::check(key, &[body], tag)?;
     postcard::from_bytes(body).map_err(|_| Error::Malformed)
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,7 +4,7 @@
 
 use kernel::journal;
 use kernel::membership;
-use kernel::name::{Domain, Host, Model, Workspace};
+use kernel::name::{Domain, Host, Model, Service, Workspace};
 use kernel::outcome::Refusal;
 use kernel::request;
 use kernel::schedule::{Digest, Grant, Job};
@@ -12,8 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What a node tells others a few times a second, over UDP.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's own entry first, then the members that it heard from last.
     pub entries: Vec<membership::Entry>,
@@ -22,8 +21,7 @@
 }
 
 /// The digest of one pool.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PoolEntry {
     /// The pool's failure domain.
     pub domain: Domain,
@@ -38,8 +36,7 @@
 }
 
 /// A request that another failure domain is to run.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Forward {
     /// The request.
     pub request: request::Id,
@@ -62,8 +59,7 @@
 }
 
 /// A request for a part of a plan limit.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Borrow {
     /// Whose limit.
     pub workspace: Workspace,
@@ -72,16 +68,33 @@
 }
 
 /// A refusal together with whether another node may try the request.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Refused {
     /// The refusal.
     pub refusal: Refusal,
 }
 
+/// A call of a plain service that another failure domain is to make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// The request.
+    pub request: request::Id,
+    /// Who pays for it.
+    pub workspace: Workspace,
+    /// The service.
+    pub service: Service,
+    /// The call's name.
+    pub call: String,
+    /// The caller's idempotency key.
+    pub key: String,
+    /// The body.
+    pub body: String,
+    /// Time until the request must have ended.
+    pub remaining: Duration,
+}
+
 /// A deferred request and its answer, as kept on two hosts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
     /// The request.
     pub request: request::Id,
@@ -100,8 +113,7 @@
 }
 
 /// A message over TCP.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// Asks the owner of a pool for an engine; the connection is the ticket.
     Ticket(Box<Job>),
@@ -121,6 +133,10 @@
     Token(u64, String),
     /// A forwarded request's answer is whole: prompt, answer and cached tokens.
     End(u64, u64, u64),
+    /// Asks another failure domain to make a call.
+    Call(Box<Call>),
+    /// A service's answer: status and body.
+    Answer(u16, String),
     /// Asks for a part of a limit.
     Borrow(Borrow),
     /// The part that is lent.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -12,9 +12,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::Error;
 use crate::frame::Frame;
 use crate::seal::{self, TAG_BYTES};
-use crate::Error;
 
 /// Largest frame, in bytes.
 pub const LARGEST: usize = 32 * 1_024 * 1_024;
@@ -95,11 +95,7 @@
         Self::greet(socket, key, nonce).await
     }
 
-    async fn greet(
-        socket: TcpStream,
-        key: &[u8],
-        nonce: [u8; NONCE_BYTES],
-    ) -> Result<Self, Error> {
+    async fn greet(socket: TcpStream, key: &[u8], nonce: [u8; NONCE_BYTES]) -> Result<Self, Error> {
         socket.set_nodelay(true).map_err(|_| Error::Closed)?;
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(LARGEST)
@@ -112,7 +108,8 @@
             .map_err(|_| Error::Silent)?
             .ok_or(Error::Closed)?
             .map_err(|_| Error::Malformed)?;
-        if theirs.len() != NONCE_BYTES {
+        // Equal nonces would let the other side send our own frames back to us.
+        if theirs.len() != NONCE_BYTES || theirs[..] == nonce {
             return Err(Error::Malformed);
         }
         Ok(Self {
