--- a/bin/filbertctl/src/caller.rs
+++ b/bin/filbertctl/src/caller.rs
@@ -13,6 +13,9 @@
 /// How long a caller waits beyond its time limit before it counts the answer as late.
 pub const GRACE: Duration = Duration::from_millis(250);
 
+/// How long a caller waits for the acceptance of a deferred request.
+const ACCEPTANCE: Duration = Duration::from_secs(10);
+
 /// How a request ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -95,20 +98,16 @@
         tokio::time::timeout(ask.limit + GRACE, stream(address, ask, started, &mut seen)).await;
     seen.end = outcome.unwrap_or(End::Late);
     seen.total = started.elapsed();
-    if seen.end == End::Whole && ask.last_event.is_empty() && !right(&ask, &seen.text) {
-        seen.end = End::Wrong;
-    }
-    let partial = fakes::text::answer(ask.prompt, ask.answer_tokens);
-    if ask.last_event.is_empty() && !partial.starts_with(&seen.text) {
-        seen.end = End::Wrong;
+    if ask.last_event.is_empty() {
+        let expected = fakes::text::answer(ask.prompt, ask.answer_tokens);
+        let whole = seen.end == End::Whole;
+        if !expected.starts_with(&seen.text) || (whole && expected != seen.text) {
+            seen.end = End::Wrong;
+        }
     }
     seen
 }
 
-fn right(ask: &Ask<'_>, text: &str) -> bool {
-    fakes::text::answer(ask.prompt, ask.answer_tokens) == text
-}
-
 async fn stream(address: SocketAddr, ask: Ask<'_>, started: Instant, seen: &mut Seen) -> End {
     let body = json!({
         "model": ask.model,
@@ -213,12 +212,65 @@
     };
     match Connection::new(address).fetch(call, limit + GRACE).await {
         Ok(body) => (End::Whole, String::from_utf8_lossy(&body).into_owned()),
-        Err(Error::Status(_, body)) => {
+        Err(error) => ended(error),
+    }
+}
+
+/// How a call without an answer ended, and the body that says why.
+fn ended(error: Error) -> (End, String) {
+    match error {
+        Error::Status(_, body) => {
             let document: Value = serde_json::from_str(&body).unwrap_or_default();
             let outcome = serde_json::from_value(document["error"]["outcome"].clone());
             (outcome.map_or(End::Wrong, End::of), body)
         }
-        Err(Error::Silent) => (End::Late, String::new()),
-        Err(_) => (End::NodeLost, String::new()),
+        Error::Silent => (End::Late, String::new()),
+        Error::NotSent(_) | Error::Broken(_) => (End::NodeLost, String::new()),
+    }
+}
+
+/// Asks for a deferred completion; returns its identifier when it was accepted.
+pub async fn defer(address: SocketAddr, ask: Ask<'_>) -> (End, String) {
+    let body = json!({ "model": ask.model, "prompt": ask.prompt, "max_tokens": ask.answer_tokens });
+    let limit_ms = ask.limit.as_millis().to_string();
+    let authorization = format!("Bearer {}", ask.key);
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("x-request-timeout-ms", limit_ms.as_str()),
+        ("prefer", "respond-async"),
+    ];
+    let call = Call {
+        method: Method::POST,
+        path: "/v1/completions",
+        headers: &headers,
+        body: bytes::Bytes::from(body.to_string()),
+    };
+    match Connection::new(address).fetch(call, ACCEPTANCE).await {
+        Ok(body) => {
+            let document: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let id = document["id"].as_str().unwrap_or_default().to_owned();
+            (End::Whole, id)
+        }
+        Err(error) => ended(error),
+    }
+}
+
+/// Fetches a deferred request; `None` when the node did not answer.
+pub async fn fetch(address: SocketAddr, key: &str, id: &str) -> Option<Value> {
+    const LIMIT: Duration = Duration::from_secs(2);
+    let path = format!("/v1/deferred/{id}");
+    let authorization = format!("Bearer {key}");
+    let headers = [("authorization", authorization.as_str())];
+    let call = Call {
+        method: Method::GET,
+        path: &path,
+        headers: &headers,
+        body: bytes::Bytes::new(),
+    };
+    match Connection::new(address).fetch(call, LIMIT).await {
+        Ok(body) => serde_json::from_slice(&body).ok(),
+        Err(Error::Status(404 | 503, _))
+        | Err(Error::NotSent(_) | Error::Broken(_) | Error::Silent) => None,
+        Err(Error::Status(_, body)) => serde_json::from_str(&body).ok(),
     }
 }
--- a/bin/filbertctl/src/cmd/arguments.rs
+++ b/bin/filbertctl/src/cmd/arguments.rs
@@ -53,8 +53,11 @@
 
 /// The known name that is most like `name`.
 pub fn nearest<'a>(name: &str, known: &[&'a str]) -> &'a str {
-    let score = |other: &&&str| (strsim::jaro_winkler(name, other) * 1_000_000.0) as u64;
-    known.iter().max_by_key(score).copied().unwrap_or_default()
+    let score = |other: &str| strsim::jaro_winkler(name, other);
+    let nearest = known
+        .iter()
+        .max_by(|left, right| score(left).total_cmp(&score(right)));
+    nearest.copied().unwrap_or_default()
 }
 
 impl Arguments {
--- /dev/null
+++ b/bin/filbertctl/src/cmd/load/mod.rs
@@ -0,0 +1,151 @@
+//! `filbertctl load`: measures policies under the same seeded arrivals.
+
+mod plot;
+mod report;
+mod run;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use super::arguments::{Arguments, Error};
+use super::{EXIT_FAILED, runtime};
+use crate::fleet::Plan;
+use crate::scenario::Scenario;
+use report::{Report, Run};
+
+pub const HELP: &str = "\
+Drives real nodes over loopback, with stand-ins scaled in time, and measures each policy under the
+same seeded arrivals. Each policy runs twice: with all prompts, and with the short ones alone.
+
+Usage: filbertctl load --scenario NAME [OPTIONS]
+
+Options:
+      --scenario NAME       charnwood (short requests weigh most) or lijmnet (all lengths alike)
+      --policy P[,P...]     Policies to compare [default: first_token,round_robin,least_loaded]
+      --seed N              Where random choices start [default: 1]
+      --seconds S           Length of the arrivals, in seconds of the run [default: 30]
+      --load F              Arrivals as a part of the engines' capacity [default: 0.7]
+      --scale N             Engines run this many times faster than real ones [default: 5]
+      --short-weight W      Weight of short requests from 0 to 1 [default: the scenario's]
+      --plot FILE           Write a plot of the first token times (SVG)
+      --json                Print JSON
+      --log LEVEL           Show logs of this level
+
+Exit codes: 0 measured, 1 an answer was wrong or late or memory leaked, 2 usage, 3 not started
+";
+pub const FLAGS: &[&str] = &[
+    "scenario=",
+    "policy=",
+    "seed=",
+    "seconds=",
+    "load=",
+    "scale=",
+    "short-weight=",
+    "plot=",
+];
+
+/// What is measured.
+struct Setup {
+    scenario: Scenario,
+    seed: u64,
+    time: Duration,
+    load: f64,
+    scale: u32,
+    short_weight: Option<f64>,
+}
+
+impl Setup {
+    fn plan(&self, policy: &str) -> Plan {
+        let mut plan = self.scenario.plan(self.scale);
+        policy.clone_into(&mut plan.policy);
+        plan.seed = self.seed;
+        if let Some(weight) = self.short_weight {
+            plan.short_weight = weight;
+        }
+        plan
+    }
+}
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let name: String = arguments.required("scenario")?;
+    let unknown = || Error::Usage(format!("no scenario {name:?}: use charnwood or lijmnet"));
+    let setup = Setup {
+        scenario: Scenario::find(&name).ok_or_else(unknown)?,
+        seed: arguments.value("seed")?.unwrap_or(1),
+        time: Duration::from_secs(arguments.value("seconds")?.unwrap_or(30)),
+        load: arguments.value("load")?.unwrap_or(0.7),
+        scale: arguments.value("scale")?.unwrap_or(5),
+        short_weight: arguments.value("short-weight")?,
+    };
+    let policies: String = arguments
+        .value("policy")?
+        .unwrap_or_else(|| "first_token,round_robin,least_loaded".to_owned());
+    let policies = check_policies(&policies)?;
+    let plot: Option<String> = arguments.value("plot")?;
+    let mut runs = Vec::new();
+    for policy in &policies {
+        runs.push(measure(&setup, policy)?);
+    }
+    let report = Report {
+        scenario: setup.scenario.name(),
+        seed: setup.seed,
+        runs,
+    };
+    if arguments.flag("json") {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        report.show();
+    }
+    if let Some(file) = plot {
+        plot::write(&report, &file).map_err(|error| Error::Unusable(format!("{file}: {error}")))?;
+    }
+    Ok(if report.sound() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILED)
+    })
+}
+
+fn check_policies(text: &str) -> Result<Vec<String>, Error> {
+    let known = kernel::routing::names();
+    let policies: Vec<_> = text.split(',').map(str::to_owned).collect();
+    match policies
+        .iter()
+        .find(|policy| !known.contains(&policy.as_str()))
+    {
+        Some(policy) => Err(Error::Usage(format!(
+            "no policy {policy:?}: use some of {known:?}"
+        ))),
+        None => Ok(policies),
+    }
+}
+
+/// Measures one policy, each time on a fresh fleet.
+fn measure(setup: &Setup, policy: &str) -> Result<Run, Error> {
+    let plan = setup.plan(policy);
+    let arrivals = setup
+        .scenario
+        .arrivals(&plan, setup.seed, setup.time, setup.load);
+    let short = arrivals
+        .iter()
+        .filter(|arrival| arrival.tokens <= crate::scenario::SHORT_TOKENS);
+    let short: Vec<_> = short.cloned().collect();
+    let mixed = runtime()?.block_on(run::run(
+        &plan,
+        &arrivals,
+        &format!("{policy}, all prompts"),
+    ));
+    let alone = runtime()?.block_on(run::run(
+        &plan,
+        &short,
+        &format!("{policy}, short prompts alone"),
+    ));
+    let unusable =
+        |error: std::io::Error| Error::Unusable(format!("the fleet did not start: {error}"));
+    Ok(Run::new(
+        policy,
+        &plan,
+        &mixed.map_err(unusable)?,
+        &alone.map_err(unusable)?,
+    ))
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/load/report.rs
@@ -0,0 +1,197 @@
+//! What a load run found, as JSON or as a table.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use kernel::cost::{BANDS, Band};
+use serde::Serialize;
+
+use super::run::{Sample, Seen};
+use crate::caller::End;
+use crate::fleet::Plan;
+use crate::scenario::SHORT_TOKENS;
+
+/// KV memory of one token, in bytes.
+const KV_BYTES_PER_TOKEN: u64 = 128 * 1_024;
+
+/// Percentiles of the time to the first token, in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Percentiles {
+    pub p50: f64,
+    pub p95: f64,
+    pub p99: f64,
+}
+
+/// What was seen of prompts of about the same length.
+#[derive(Clone, Debug, Serialize)]
+pub struct Bucket {
+    pub tokens_up_to: u64,
+    pub requests: usize,
+    pub ttft_ms: Percentiles,
+    pub ttft_over_floor_p95: f64,
+}
+
+/// What was seen under one policy.
+#[derive(Clone, Debug, Serialize)]
+#[allow(clippy::struct_field_names)]
+pub struct Run {
+    pub policy: String,
+    pub short_weight: f64,
+    pub finished: usize,
+    pub failed: usize,
+    pub not_run: usize,
+    pub late: usize,
+    pub leaked_bytes: u64,
+    pub wrong_answers: usize,
+    pub short_blocking_p95: f64,
+    pub goodput_tokens: u64,
+    pub buckets: Vec<Bucket>,
+}
+
+/// What was seen under all policies.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub scenario: &'static str,
+    pub seed: u64,
+    pub runs: Vec<Run>,
+}
+
+fn histogram() -> Histogram<u64> {
+    const LARGEST: u64 = 3_600_000_000;
+    Histogram::new_with_max(LARGEST, 3).expect("the bounds of the histogram are constant")
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Times to the first token, in microseconds.
+fn first_tokens<'a>(samples: impl Iterator<Item = &'a Sample>) -> Histogram<u64> {
+    let mut histogram = histogram();
+    for time in samples.filter_map(|sample| sample.first_token) {
+        histogram.saturating_record(micros(time));
+    }
+    histogram
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+fn short(samples: &[Sample]) -> impl Iterator<Item = &Sample> {
+    samples
+        .iter()
+        .filter(|sample| sample.tokens <= SHORT_TOKENS)
+}
+
+impl Bucket {
+    #[allow(clippy::cast_precision_loss)]
+    fn new(tokens_up_to: u64, samples: &[Sample]) -> Self {
+        const PARTS: u32 = 1_000;
+        let inside = || {
+            samples
+                .iter()
+                .filter(|sample| Band::of(sample.tokens).tokens_up_to == tokens_up_to)
+        };
+        let times = first_tokens(inside());
+        let mut ratios = histogram();
+        for sample in inside() {
+            if let Some(time) = sample.first_token {
+                let ratio = micros(time) * u64::from(PARTS) / micros(sample.floor).max(1);
+                ratios.saturating_record(ratio);
+            }
+        }
+        Self {
+            tokens_up_to,
+            requests: inside().count(),
+            ttft_ms: Percentiles {
+                p50: millis(&times, 0.50),
+                p95: millis(&times, 0.95),
+                p99: millis(&times, 0.99),
+            },
+            ttft_over_floor_p95: ratios.value_at_quantile(0.95) as f64 / f64::from(PARTS),
+        }
+    }
+}
+
+impl Run {
+    /// Sums up a run with all prompts and one with the short ones alone.
+    pub fn new(policy: &str, plan: &Plan, mixed: &Seen, alone: &Seen) -> Self {
+        let count = |ends: &[End]| {
+            mixed
+                .samples
+                .iter()
+                .filter(|sample| ends.contains(&sample.end))
+                .count()
+        };
+        let together = millis(&first_tokens(short(&mixed.samples)), 0.95);
+        let apart = millis(&first_tokens(short(&alone.samples)), 0.95);
+        let whole = mixed
+            .samples
+            .iter()
+            .filter(|sample| sample.end == End::Whole);
+        Self {
+            policy: policy.to_owned(),
+            short_weight: plan.short_weight,
+            finished: count(&[End::Whole]),
+            failed: count(&[End::Failed, End::Unknown, End::NodeLost]),
+            not_run: count(&[End::NotRun]),
+            late: count(&[End::Late]),
+            leaked_bytes: (mixed.leaked_tokens + alone.leaked_tokens) * KV_BYTES_PER_TOKEN,
+            wrong_answers: count(&[End::Wrong]),
+            short_blocking_p95: together / apart.max(f64::EPSILON),
+            goodput_tokens: whole.map(|sample| sample.tokens).sum(),
+            buckets: BANDS
+                .iter()
+                .map(|end| Bucket::new(*end, &mixed.samples))
+                .collect(),
+        }
+    }
+}
+
+impl Report {
+    /// Whether nothing was late, wrong or leaked.
+    pub fn sound(&self) -> bool {
+        let sound = |run: &Run| run.late == 0 && run.wrong_answers == 0 && run.leaked_bytes == 0;
+        self.runs.iter().all(sound)
+    }
+
+    /// Prints the report as a table.
+    pub fn show(&self) {
+        for run in &self.runs {
+            println!(
+                "\n{}, policy {} (short weight {}), seed {}: {} finished, {} failed, {} not run, {} late, {} wrong, {} bytes leaked",
+                self.scenario,
+                run.policy,
+                run.short_weight,
+                self.seed,
+                run.finished,
+                run.failed,
+                run.not_run,
+                run.late,
+                run.wrong_answers,
+                run.leaked_bytes
+            );
+            println!(
+                "short prompts' p95 first token over that without long ones: {:.2}",
+                run.short_blocking_p95
+            );
+            println!(
+                "{:>12} {:>9} {:>10} {:>10} {:>10} {:>14}",
+                "tokens up to", "requests", "p50 ms", "p95 ms", "p99 ms", "p95 over floor"
+            );
+            for bucket in &run.buckets {
+                println!(
+                    "{:>12} {:>9} {:>10.1} {:>10.1} {:>10.1} {:>14.2}",
+                    bucket.tokens_up_to,
+                    bucket.requests,
+                    bucket.ttft_ms.p50,
+                    bucket.ttft_ms.p95,
+                    bucket.ttft_ms.p99,
+                    bucket.ttft_over_floor_p95
+                );
+            }
+        }
+    }
+}
--- a/bin/filbertctl/src/cmd/publish.rs
+++ b/bin/filbertctl/src/cmd/publish.rs
@@ -42,7 +42,7 @@
     })?;
     let content: Value = serde_json::from_str(&text)
         .map_err(|error| Error::Refused(format!("{file}: {error}: correct the JSON")))?;
-    let edit = edit(&list, arguments.flag("put"), content, &file)?;
+    let edit = edit(&list, arguments.flag("put"), &content, &file)?;
     let id = arguments
         .value("id")?
         .unwrap_or_else(|| identify(base, &edit));
@@ -61,7 +61,7 @@
 }
 
 /// The edit that the file asks for; a whole list is checked before it is sent.
-fn edit(list: &str, put: bool, content: Value, file: &str) -> Result<Value, Error> {
+fn edit(list: &str, put: bool, content: &Value, file: &str) -> Result<Value, Error> {
     let broken = |error: serde_json::Error| {
         Error::Refused(format!("{file}: {error}: follow schemas/lists.schema.json"))
     };
--- /dev/null
+++ b/bin/filbertctl/src/cmd/soak/tally.rs
@@ -0,0 +1,199 @@
+//! Counts what callers saw and keeps what must not have happened.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::caller::End;
+
+/// KV memory of one token, in bytes.
+const KV_BYTES_PER_TOKEN: u64 = 128 * 1_024;
+
+/// What a soak run found.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    pub seed: u64,
+    pub requests: u64,
+    pub finished: u64,
+    pub failed: u64,
+    pub not_run: u64,
+    pub unknown: u64,
+    pub late: u64,
+    pub continued: u64,
+    pub cut: u64,
+    pub wrong_answers: u64,
+    pub double_runs: u64,
+    pub leaked_bytes: u64,
+    pub violations: Vec<String>,
+    pub faults: BTreeMap<String, u64>,
+}
+
+impl Report {
+    /// Whether everything held.
+    pub fn sound(&self) -> bool {
+        self.late == 0
+            && self.wrong_answers == 0
+            && self.double_runs == 0
+            && self.leaked_bytes == 0
+            && self.violations.is_empty()
+    }
+
+    /// Prints the report.
+    pub fn show(&self) {
+        println!(
+            "seed {}: {} requests: {} finished, {} failed, {} not run, {} unknown, {} continued at another node, {} cut",
+            self.seed,
+            self.requests,
+            self.finished,
+            self.failed,
+            self.not_run,
+            self.unknown,
+            self.continued,
+            self.cut
+        );
+        println!(
+            "{} late, {} wrong answers, {} double runs, {} bytes leaked, {} violations",
+            self.late,
+            self.wrong_answers,
+            self.double_runs,
+            self.leaked_bytes,
+            self.violations.len()
+        );
+        for violation in &self.violations {
+            println!("violation: {violation}");
+        }
+        for (fault, count) in &self.faults {
+            println!("fault {fault}: {count}");
+        }
+    }
+}
+
+/// A call that may not be repeated, as its callers saw it.
+#[derive(Clone, Debug, Default)]
+struct Booking {
+    whole: bool,
+    all_not_run: bool,
+}
+
+#[derive(Default)]
+struct State {
+    report: Report,
+    bookings: BTreeMap<String, Booking>,
+    trace: Vec<(Instant, String)>,
+}
+
+/// Shared counts of a run.
+#[derive(Default)]
+pub struct Tally {
+    state: Mutex<State>,
+}
+
+impl Tally {
+    /// Adds a line to the trace.
+    pub fn note(&self, line: String) {
+        self.state.lock().trace.push((Instant::now(), line));
+    }
+
+    /// The trace as text, with milliseconds from the start.
+    pub fn trace(&self) -> String {
+        let state = self.state.lock();
+        let Some((start, _)) = state.trace.first() else {
+            return String::new();
+        };
+        let mut text = String::new();
+        for (at, line) in &state.trace {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{:>8} {line}", at.duration_since(*start).as_millis());
+        }
+        text
+    }
+
+    /// Counts a fault.
+    pub fn fault(&self, kind: &str, detail: &str) {
+        let mut state = self.state.lock();
+        *state.report.faults.entry(kind.to_owned()).or_default() += 1;
+        state
+            .trace
+            .push((Instant::now(), format!("fault {kind} {detail}")));
+    }
+
+    /// Keeps something that must not have happened.
+    pub fn violation(&self, what: String) {
+        self.note(format!("violation {what}"));
+        self.state.lock().report.violations.push(what);
+    }
+
+    /// Counts a request whose connection to a node broke and that went on at another.
+    pub fn continued(&self) {
+        self.state.lock().report.continued += 1;
+    }
+
+    /// Counts a connection that broke.
+    pub fn cut(&self) {
+        self.state.lock().report.cut += 1;
+    }
+
+    /// Counts an ended request.
+    pub fn ended(&self, what: &str, end: End, error: &str) {
+        let mut state = self.state.lock();
+        state
+            .trace
+            .push((Instant::now(), format!("{what} ended {end:?} {error}")));
+        let report = &mut state.report;
+        report.requests += 1;
+        match end {
+            End::Whole => report.finished += 1,
+            End::NotRun => report.not_run += 1,
+            End::Failed | End::NodeLost => report.failed += 1,
+            End::Unknown => report.unknown += 1,
+            End::Wrong => report.wrong_answers += 1,
+            End::Late => report.late += 1,
+        }
+    }
+
+    /// Notes how one try of a booking ended.
+    pub fn booking(&self, key: &str, end: End) {
+        let mut state = self.state.lock();
+        let booking = state.bookings.entry(key.to_owned()).or_insert(Booking {
+            whole: false,
+            all_not_run: true,
+        });
+        booking.whole |= end == End::Whole;
+        booking.all_not_run &= end == End::NotRun;
+    }
+
+    /// Notes the KV memory that was still held at the end, in tokens.
+    pub fn leaked(&self, tokens: u64) {
+        self.state.lock().report.leaked_bytes = tokens * KV_BYTES_PER_TOKEN;
+    }
+
+    /// Holds the service's executions against what the callers were told.
+    pub fn check_executions(&self, executions: &BTreeMap<String, u32>) {
+        let mut state = self.state.lock();
+        let mut violations = Vec::new();
+        let mut doubles = 0;
+        for (key, booking) in &state.bookings {
+            let count = executions.get(key).copied().unwrap_or(0);
+            doubles += u64::from(count.saturating_sub(1));
+            if booking.whole && count == 0 {
+                violations.push(format!("booking {key} was answered and did not run"));
+            }
+            if booking.all_not_run && count > 0 {
+                violations.push(format!("booking {key} was refused as not run and ran"));
+            }
+        }
+        state.report.double_runs = doubles;
+        state.report.violations.extend(violations);
+    }
+
+    /// The report, with the conditions that broke inside the nodes.
+    pub fn report(&self, seed: u64, broken: Vec<String>) -> Report {
+        let mut report = self.state.lock().report.clone();
+        report.seed = seed;
+        report.violations.extend(broken);
+        report
+    }
+}
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -79,7 +79,7 @@
             seed: 1,
             threads: 2,
             kv_total: 400_000,
-            claim_window: Duration::from_secs(3_600),
+            claim_window: Duration::from_hours(1),
         }
     }
 
@@ -209,7 +209,7 @@
             .plan
             .seed
             .wrapping_mul(1_000)
-            .wrapping_add(self.starts());
+            .wrapping_add(Self::starts());
         let settings = self.settings[index].clone();
         let member = Member::start(settings, seed, self.plan.threads).await?;
         if index < self.nodes.len() {
@@ -221,7 +221,7 @@
     }
 
     /// A number that differs at each start of a node.
-    fn starts(&self) -> u64 {
+    fn starts() -> u64 {
         use std::sync::atomic::{AtomicU64, Ordering};
         static STARTS: AtomicU64 = AtomicU64::new(0);
         STARTS.fetch_add(1, Ordering::Relaxed)
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -35,7 +35,11 @@
         let answer = async {
             // An idle connection may have died unnoticed, and a call may be sent only once.
             self.connection.reset();
-            let response = self.connection.send(call, limit).await.map_err(missing)?;
+            let response = self
+                .connection
+                .send(call, limit)
+                .await
+                .map_err(|error| missing(&error))?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), RECORDED_BYTES)
                 .collect()
@@ -51,7 +55,7 @@
     }
 }
 
-fn missing(error: HttpError) -> Missing {
+fn missing(error: &HttpError) -> Missing {
     match error {
         HttpError::NotSent(_) => Missing::NotSent,
         _ => Missing::Uncertain,
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -212,14 +212,14 @@
                 return;
             }
             let (body, part, sender, arrived) = self.queued.remove(0);
-            self.start(body, part, sender, arrived);
+            self.start(&body, part, sender, arrived);
         }
     }
 
-    fn start(&mut self, body: StartBody, part: bool, sender: UnboundedSender<Item>, arrived: u64) {
+    fn start(&mut self, body: &StartBody, part: bool, sender: UnboundedSender<Item>, arrived: u64) {
         let held = Held {
             holder: body.holder,
-            kv_tokens: needed(&body),
+            kv_tokens: needed(body),
             sender: sender.clone(),
         };
         self.held.insert(body.attempt, held);
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -201,15 +201,18 @@
         let router = Router::new()
             .route(
                 "/v1/streams",
-                post(move |request: Request| streams.open(request)).get(move || list.list()),
+                post(move |request: Request| streams.open(request)).get(async move || list.list()),
             )
             .route(
                 "/v1/parts",
                 post(move |request: Request| parts.part(request)),
             )
             .route("/v1/free", post(move |request: Request| free.free(request)))
-            .route("/v1/report", get(move || report.report()))
-            .route("/v1/cache", get(move |uri: http::Uri| cache.cache(uri)))
+            .route("/v1/report", get(async move || report.report()))
+            .route(
+                "/v1/cache",
+                get(async move |uri: http::Uri| cache.cache(&uri)),
+            )
             .route(
                 "/v1/orders",
                 post(move |request: Request| orders.order(request)),
@@ -300,11 +303,11 @@
         json(200, &serde_json::json!({}))
     }
 
-    async fn list(self) -> Response {
+    fn list(&self) -> Response {
         json(200, &self.state.lock().batch.holdings())
     }
 
-    async fn report(self) -> Response {
+    fn report(&self) -> Response {
         let mut state = self.state.lock();
         if state.dead {
             return error(503, "the engine is gone");
@@ -312,8 +315,8 @@
         json(200, state.lagged_report())
     }
 
-    async fn cache(self, uri: http::Uri) -> Response {
-        let after = query(&uri, "after").unwrap_or(0);
+    fn cache(&self, uri: &http::Uri) -> Response {
+        let after = query(uri, "after").unwrap_or(0);
         json(200, &self.state.lock().batch.cache().events(after))
     }
 
@@ -358,8 +361,8 @@
             return Err(Refusal::Closed);
         }
         let adapter = body.adapter.as_ref();
-        let adapted = adapter.is_none_or(|adapter| self.setting.adapters.contains(adapter));
-        if body.model != self.setting.model || !adapted {
+        let loaded = adapter.is_none_or(|adapter| self.setting.adapters.contains(adapter));
+        if body.model != self.setting.model || !loaded {
             return Err(Refusal::WrongModel);
         }
         self.batch.submit(&self.setting, body, part, sender)
--- a/crates/fakes/src/hosts.rs
+++ b/crates/fakes/src/hosts.rs
@@ -8,10 +8,13 @@
 use platform::{Entry, Error};
 use tokio::time::Instant;
 
+/// A list and when it became true.
+type Version = (Instant, Vec<Entry>);
+
 /// A host list that is changed by its owner and read by nodes.
 #[derive(Clone)]
 pub struct Hosts {
-    versions: Arc<Mutex<Vec<(Instant, Vec<Entry>)>>>,
+    versions: Arc<Mutex<Vec<Version>>>,
     lag: Duration,
 }
 
--- a/crates/kernel/src/fold.rs
+++ b/crates/kernel/src/fold.rs
@@ -272,6 +272,10 @@
     }
 
     /// Installs a newer state, from a snapshot or from a peer; returns false for an older one.
+    ///
+    /// # Panics
+    ///
+    /// When a state that covers more records holds an older list, which the fold never makes.
     pub fn install(&mut self, state: State) -> bool {
         if state.next <= self.state.next {
             return false;
--- a/crates/kernel/src/ledger.rs
+++ b/crates/kernel/src/ledger.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::membership::Standing;
 use crate::name::Endpoint;
 use crate::request::{Attempt, Incarnation};
 
@@ -15,7 +16,9 @@
 /// Longest wait between two tries.
 const RETRY_LONGEST: Duration = Duration::from_secs(5);
 /// How long a holder must have been dead before its memory is swept.
-pub const SWEEP_GRACE: Duration = Duration::from_secs(5);
+pub const DEAD_GRACE: Duration = Duration::from_secs(5);
+/// How long no heartbeat may have named a holder before its memory is swept.
+pub const STRANGER_GRACE: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -102,17 +105,20 @@
 
 /// Chooses what may be freed of the holdings that an endpoint lists.
 ///
-/// `dead` tells for how long an incarnation has been known to be dead, and `None` for a live one.
-/// Nothing of a live node, of this node or of a connected holder is ever chosen.
+/// `standing` tells what is known of a holder. Nothing of a live node or of a connected holder is
+/// ever chosen.
 pub fn sweep(
-    own: Incarnation,
     holdings: &[Holding],
-    dead: impl Fn(Incarnation) -> Option<Duration>,
+    mut standing: impl FnMut(Incarnation) -> Standing,
 ) -> Vec<Attempt> {
+    let mut abandoned = |holder| match standing(holder) {
+        Standing::Live => false,
+        Standing::Dead(time) => time >= DEAD_GRACE,
+        Standing::Stranger(time) => time >= STRANGER_GRACE,
+    };
     holdings
         .iter()
-        .filter(|holding| holding.holder != own && !holding.connected)
-        .filter(|holding| dead(holding.holder).is_some_and(|time| time >= SWEEP_GRACE))
+        .filter(|holding| !holding.connected && abandoned(holding.holder))
         .map(|holding| holding.attempt)
         .collect()
 }
--- a/crates/kernel/src/membership.rs
+++ b/crates/kernel/src/membership.rs
@@ -20,13 +20,13 @@
 /// Age of the last counter at which a member counts as dead.
 pub const DEAD_AFTER: Duration = Duration::from_millis(2_400);
 /// How long a dead member is remembered.
-const FORGET_AFTER: Duration = Duration::from_secs(600);
+const FORGET_AFTER: Duration = Duration::from_mins(10);
 /// Members of the own failure domain that get each heartbeat.
 const FANOUT: usize = 3;
 /// Nodes of each failure domain that speak with other domains.
 const DELEGATES: usize = 2;
 /// Counters carried by one heartbeat.
-const CARRIED: usize = 32;
+const CARRIED: usize = 64;
 
 /// One member's counter, as carried by heartbeats.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +59,19 @@
     members: BTreeMap<Host, Member>,
     /// Incarnations that were replaced by a newer one of the same host, and when.
     replaced: BTreeMap<Incarnation, Instant>,
+    /// Incarnations that something is held for and that no heartbeat has named, and since when.
+    strangers: BTreeMap<Incarnation, Instant>,
+}
+
+/// What is known of an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It sends heartbeats.
+    Live,
+    /// It was heard from and has been silent or replaced for this time.
+    Dead(Duration),
+    /// No heartbeat has named it in this time.
+    Stranger(Duration),
 }
 
 impl Table {
@@ -69,6 +82,7 @@
             own,
             members: BTreeMap::new(),
             replaced: BTreeMap::new(),
+            strangers: BTreeMap::new(),
         }
     }
 
@@ -99,6 +113,8 @@
         self.members
             .retain(|_, member| member.died.is_none_or(|at| at + FORGET_AFTER > now));
         self.replaced.retain(|_, at| *at + FORGET_AFTER > now);
+        self.strangers
+            .retain(|_, since| *since + FORGET_AFTER > now);
     }
 
     fn carried(&self, now: Instant) -> Vec<Entry> {
@@ -227,18 +243,27 @@
         std::iter::once((&self.own, true)).chain(others).collect()
     }
 
-    /// For how long `incarnation` has been dead; `None` for a live or unknown one.
-    #[must_use]
-    pub fn dead_for(&self, now: Instant, incarnation: Incarnation) -> Option<Duration> {
+    /// What is known of `incarnation`.
+    ///
+    /// A node that restarts knows nobody of before; what was held for such an incarnation would
+    /// never be freed if only known ones could be dead.
+    pub fn standing(&mut self, now: Instant, incarnation: Incarnation) -> Standing {
+        if incarnation == self.own.incarnation {
+            return Standing::Live;
+        }
         if let Some(at) = self.replaced.get(&incarnation) {
-            return Some(now.since(*at));
+            return Standing::Dead(now.since(*at));
         }
-        let member = self
-            .members
-            .values()
-            .find(|member| member.entry.incarnation == incarnation)?;
-        let dead = member.heard + DEAD_AFTER <= now;
-        dead.then(|| now.since(member.heard))
+        let mut members = self.members.values();
+        if let Some(member) = members.find(|member| member.entry.incarnation == incarnation) {
+            self.strangers.remove(&incarnation);
+            if member.heard + DEAD_AFTER > now {
+                return Standing::Live;
+            }
+            return Standing::Dead(now.since(member.heard));
+        }
+        let since = self.strangers.entry(incarnation).or_insert(now);
+        Standing::Stranger(now.since(*since))
     }
 
     /// The live node of the own failure domain that owns `key`, by rendezvous hashing.
--- a/crates/kernel/src/reconcile.rs
+++ b/crates/kernel/src/reconcile.rs
@@ -19,7 +19,7 @@
 /// How long the pressure must last.
 const PRESSURE_LASTS: Duration = Duration::from_secs(5);
 /// Time before a moved engine may be moved again.
-const SETTLE: Duration = Duration::from_secs(60);
+const SETTLE: Duration = Duration::from_mins(1);
 /// Time before an order that had no effect is given again.
 const REPEAT: Duration = Duration::from_secs(3);
 /// Orders that may load weights at the same time in one failure domain.
@@ -98,7 +98,7 @@
 
     fn watch_pressure(&mut self, now: Instant, demand: &BTreeMap<Model, Digest>) {
         self.pressure
-            .retain(|model, _| demand.get(model).is_some_and(|digest| pressed(digest)));
+            .retain(|model, _| demand.get(model).is_some_and(pressed));
         for (model, digest) in demand {
             if pressed(digest) {
                 self.pressure.entry(model.clone()).or_insert(now);
--- a/crates/kernel/src/schedule/engine.rs
+++ b/crates/kernel/src/schedule/engine.rs
@@ -15,7 +15,7 @@
 /// Prefix hints kept for one engine.
 const HINTS: usize = 65_536;
 /// Age at which a prefix hint is no longer believed.
-const HINT_LIFETIME: Duration = Duration::from_secs(120);
+const HINT_LIFETIME: Duration = Duration::from_mins(2);
 /// Prefill that a started request is assumed to have left until its first token arrives.
 const UNSEEN_TOKENS: f64 = 64.0;
 /// Time for which a finished request may still be in a lagged report.
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -409,13 +409,21 @@
             attempt: waiting.job.attempt,
             endpoints,
             priority: waiting.rank.as_millis(),
-            chunk_tokens: self.setting.chunk(waiting.job.prompt_tokens),
+            chunk_tokens: self.chunk(waiting),
             part_tokens,
             predicted,
             waited: now.since(waiting.arrived),
         }
     }
 
+    /// Prompt tokens in one step; an eager policy leaves steps to the engines.
+    fn chunk(&self, waiting: &Waiting) -> u64 {
+        if self.policy.eager() {
+            return self.setting.chunk_even;
+        }
+        self.setting.chunk(waiting.job.prompt_tokens)
+    }
+
     /// Notes the first token of `attempt` and corrects later predictions by it.
     pub fn first_token(&mut self, now: Instant, attempt: Attempt) {
         const LEAST: f64 = 0.5;
@@ -452,7 +460,7 @@
             .filter(|engine| !engine.report().leaving);
         Digest {
             short_wait: self.wait_before(now),
-            long_wait: self.wait_before(now + Duration::from_secs(3_600)),
+            long_wait: self.wait_before(now + Duration::from_hours(1)),
             engines: u32::try_from(usable.count()).unwrap_or(u32::MAX),
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
         }
--- /dev/null
+++ b/crates/kernel/tests/membership.rs
@@ -0,0 +1,182 @@
+//! Heartbeats: deaths are noticed in time, and live nodes are not taken for dead.
+
+use std::time::Duration;
+
+use filbertstage_kernel::membership::{Entry, INTERVAL, Standing, Table};
+use filbertstage_kernel::prelude::*;
+use filbertstage_kernel::request::Incarnation;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+fn entry(number: usize, incarnation: u64) -> Entry {
+    Entry {
+        host: Host::from(format!("h{number:03}")),
+        domain: Domain::from(format!("d{}", number % 3)),
+        address: String::new(),
+        incarnation: Incarnation(incarnation),
+        counter: 0,
+        leaving: false,
+    }
+}
+
+/// Nodes that send each other heartbeats, some of which are lost.
+struct Network {
+    nodes: Vec<Table>,
+    paused_until: Vec<Instant>,
+    loss: f64,
+    random: SmallRng,
+    now: Instant,
+}
+
+impl Network {
+    fn new(count: usize, loss: f64, seed: u64) -> Self {
+        let mut nodes: Vec<_> = (0..count)
+            .map(|number| Table::new(entry(number, number as u64 + 1)))
+            .collect();
+        let all: Vec<_> = (0..count)
+            .map(|number| entry(number, number as u64 + 1))
+            .collect();
+        for node in &mut nodes {
+            node.hear(Instant::from_millis(1), &all);
+        }
+        Self {
+            nodes,
+            paused_until: vec![Instant::default(); count],
+            loss,
+            random: SmallRng::seed_from_u64(seed),
+            now: Instant::from_millis(1),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + INTERVAL;
+        for index in 0..self.nodes.len() {
+            if self.paused_until[index] > self.now {
+                continue;
+            }
+            let (entries, targets) = self.nodes[index].beat(self.now, &mut self.random);
+            for target in targets {
+                let place = target.host.as_str()[1..]
+                    .parse::<usize>()
+                    .expect("a number");
+                if !self.random.random_bool(self.loss) && self.paused_until[place] <= self.now {
+                    self.nodes[place].hear(self.now, &entries);
+                }
+            }
+        }
+    }
+
+    fn live_at(&self, index: usize) -> usize {
+        self.nodes[index].live(self.now).len()
+    }
+}
+
+#[rstest]
+#[case::today(5)]
+#[case::larger(39)]
+fn no_live_node_counts_as_dead_in_ten_minutes_of_loss(#[case] count: usize) {
+    let mut network = Network::new(count, 0.2, 7);
+    let steps = Duration::from_secs(600).as_millis() / INTERVAL.as_millis();
+    let mut false_deaths = 0;
+    for _ in 0..steps {
+        network.step();
+        false_deaths += (0..count)
+            .filter(|index| network.live_at(*index) != count)
+            .count();
+    }
+    assert_eq!(false_deaths, 0);
+}
+
+#[test]
+fn a_pause_of_nearly_two_seconds_is_no_death() {
+    let mut network = Network::new(5, 0.0, 7);
+    for round in 0..20 {
+        network.paused_until[round % 5] = network.now + Duration::from_millis(1_900);
+        for _ in 0..20 {
+            network.step();
+            for index in (0..5).filter(|index| *index != round % 5) {
+                assert_eq!(network.live_at(index), 5);
+            }
+        }
+    }
+}
+
+#[rstest]
+fn a_death_is_noticed_by_all_within_three_seconds(#[values(5, 39)] count: usize) {
+    let mut network = Network::new(count, 0.05, 3);
+    for _ in 0..40 {
+        network.step();
+    }
+    let died = network.now;
+    network.paused_until[1] = died + Duration::from_secs(1_000);
+    while network.now.since(died) < Duration::from_secs(3) {
+        network.step();
+    }
+    for index in (0..count).filter(|index| *index != 1) {
+        assert_eq!(network.live_at(index), count - 1, "seen from node {index}");
+    }
+}
+
+#[test]
+fn a_restarted_node_replaces_its_former_incarnation_for_good() {
+    let now = Instant::from_millis(1_000);
+    let mut table = Table::new(entry(0, 1));
+    let mut old = entry(1, 10);
+    old.counter = 500;
+    table.hear(now, &[old.clone()]);
+    table.hear(now, &[entry(1, 11)]);
+    old.counter = 501;
+    table.hear(now, &[old]);
+    let seen: Vec<_> = table
+        .live(now)
+        .iter()
+        .map(|entry| entry.incarnation.0)
+        .collect();
+    assert_eq!(
+        seen,
+        [1, 11],
+        "a late heartbeat of the old incarnation changes nothing"
+    );
+    let later = now + Duration::from_secs(7);
+    assert_eq!(
+        table.standing(later, Incarnation(10)),
+        Standing::Dead(Duration::from_secs(7))
+    );
+    assert_eq!(table.standing(later, Incarnation(1)), Standing::Live);
+}
+
+#[test]
+fn an_incarnation_that_nobody_names_is_a_stranger_from_when_it_was_first_asked_for() {
+    let now = Instant::from_millis(1_000);
+    let mut table = Table::new(entry(0, 1));
+    assert_eq!(
+        table.standing(now, Incarnation(9)),
+        Standing::Stranger(Duration::ZERO)
+    );
+    let later = now + Duration::from_secs(4);
+    assert_eq!(
+        table.standing(later, Incarnation(9)),
+        Standing::Stranger(Duration::from_secs(4))
+    );
+    table.hear(later, &[entry(2, 9)]);
+    assert_eq!(table.standing(later, Incarnation(9)), Standing::Live);
+}
+
+#[test]
+fn all_nodes_of_a_domain_agree_on_the_owner_of_a_key() {
+    let mut network = Network::new(9, 0.0, 1);
+    for _ in 0..8 {
+        network.step();
+    }
+    for key in ["pool/a", "pool/b", "sweep/e1"] {
+        let owners: Vec<_> = [0, 3, 6]
+            .iter()
+            .map(|index| network.nodes[*index].owner(network.now, key).host.clone())
+            .collect();
+        assert!(
+            owners.windows(2).all(|pair| pair[0] == pair[1]),
+            "{key}: {owners:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/schedule.rs
@@ -0,0 +1,302 @@
+//! Waiting requests, engines and gangs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use filbertstage_kernel::prelude::*;
+use filbertstage_kernel::request::{Attempt, Id, Incarnation};
+use filbertstage_kernel::schedule::{Grant, Job, Pool, Report, Setting};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const RATE: f64 = 10_000.0;
+const MEMORY: u64 = 400_000;
+
+fn report(name: &str) -> Report {
+    Report {
+        endpoint: Endpoint::from(name),
+        model: Some(Model::from("m")),
+        version: "1".to_owned(),
+        adapters: Vec::new(),
+        prefill_rate: RATE,
+        token_seconds: 0.01,
+        kv_total: MEMORY,
+        kv_used: 0,
+        most_running: 64,
+        leaving: false,
+    }
+}
+
+fn job(sequence: u64, workspace: &str, tokens: u64) -> Job {
+    let request = Id {
+        incarnation: Incarnation(1),
+        sequence,
+    };
+    Job {
+        attempt: Attempt { request, number: 1 },
+        workspace: Workspace::from(workspace),
+        model: Model::from("m"),
+        prompt_tokens: tokens,
+        answer_tokens: 10,
+        prefix: Vec::new(),
+        remaining: Duration::from_secs(1_000),
+        waited: Duration::ZERO,
+        deferred: false,
+        avoid: Vec::new(),
+    }
+}
+
+fn pool(engines: usize, policy: &str) -> Pool {
+    let mut pool = Pool::new(Setting {
+        policy: policy.to_owned(),
+        ..Setting::default()
+    });
+    for index in 0..engines {
+        pool.report(Instant::from_millis(1), report(&format!("e{index}")));
+    }
+    pool
+}
+
+fn sequences(grants: &[Grant]) -> Vec<u64> {
+    grants
+        .iter()
+        .map(|grant| grant.attempt.request.sequence)
+        .collect()
+}
+
+#[test]
+fn a_short_prompt_passes_long_ones_that_wait() {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(1, "first_token");
+    for sequence in 1..=3 {
+        pool.enqueue(now, job(sequence, "a", 100_000)).unwrap();
+    }
+    assert_eq!(
+        sequences(&pool.assign(now)),
+        [1],
+        "one long prompt fills the engine's window"
+    );
+    let later = now + Duration::from_millis(500);
+    pool.enqueue(later, job(9, "b", 500)).unwrap();
+    let grants = pool.assign(later);
+    assert_eq!(
+        sequences(&grants),
+        [9],
+        "the short one does not wait for the long ones"
+    );
+    assert!(
+        grants[0].priority < 1_000 + 100_000,
+        "and goes first in the engine too"
+    );
+}
+
+#[test]
+fn an_old_long_prompt_is_not_overtaken_for_ever() {
+    let start = Instant::from_millis(1_000);
+    let mut pool = pool(1, "first_token");
+    pool.enqueue(start, job(1, "a", 50_000)).unwrap();
+    pool.assign(start);
+    pool.enqueue(start, job(2, "a", 50_000)).unwrap();
+    // More short work than the engine can do, for two minutes.
+    let mut granted_after = None;
+    for step in 0..12_000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let short = job(100 + step, "b", 120);
+        // An overloaded pool may refuse new work; the old request must still start.
+        let _ = pool.enqueue(now, short);
+        for grant in pool.assign(now) {
+            let attempt = grant.attempt;
+            if attempt.request.sequence == 2 {
+                granted_after.get_or_insert(step * 10);
+            } else {
+                pool.first_token(now, attempt);
+                pool.end(now, attempt);
+            }
+        }
+    }
+    let after = granted_after.expect("the old long prompt starts");
+    assert!(after < 60_000, "started after {after} ms");
+}
+
+#[test]
+fn a_flooding_workspace_leaves_the_others_their_share() {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(2, "first_token");
+    for sequence in 0..400 {
+        let _ = pool.enqueue(now, job(sequence, "flood", 2_000));
+    }
+    pool.assign(now);
+    pool.enqueue(now, job(1_000, "calm", 2_000)).unwrap();
+    let mut order = Vec::new();
+    for step in 1..400_u64 {
+        let now = now + Duration::from_millis(step * 20);
+        let grants = pool.assign(now);
+        order.extend(sequences(&grants));
+        for grant in grants {
+            pool.first_token(now, grant.attempt);
+            pool.end(now, grant.attempt);
+        }
+    }
+    let place = order
+        .iter()
+        .position(|sequence| *sequence == 1_000)
+        .expect("it is served");
+    assert!(
+        place < 20,
+        "the calm workspace came after {place} requests of the flood"
+    );
+}
+
+#[rstest]
+#[case::late_itself(30_000, 2_000)]
+#[case::would_make_another_late(2_000, 30_000)]
+fn a_request_that_cannot_end_in_time_is_refused_as_not_run(
+    #[case] first: u64,
+    #[case] second: u64,
+) {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(1, "first_token");
+    pool.enqueue(now, job(1, "a", 100_000)).unwrap();
+    pool.assign(now);
+    let mut tight = job(2, "a", first);
+    tight.remaining = Duration::from_millis(first / 10 + 400);
+    let refused = if first > second {
+        pool.enqueue(
+            now,
+            Job {
+                remaining: Duration::from_secs(1),
+                ..tight
+            },
+        )
+    } else {
+        pool.enqueue(now, tight).unwrap();
+        // Shorter prompts go first; enough of them would make the waiting one late.
+        let mut many = (10..1_000).map(|sequence| job(sequence, &format!("w{sequence}"), 1_500));
+        many.find_map(|job| pool.enqueue(now, job).err())
+            .map_or(Ok(()), Err)
+    };
+    let refusal = refused.expect_err("the prediction refuses it");
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+    assert!(refusal.retry_after().is_some());
+}
+
+#[test]
+fn a_gang_reserves_all_its_engines_or_none() {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(4, "first_token");
+    pool.enqueue(now, job(1, "a", 300_000)).unwrap();
+    pool.enqueue(now, job(2, "a", 300_000)).unwrap();
+    assert_eq!(pool.assign(now).len(), 2, "two engines are mostly full");
+    pool.enqueue(now, job(3, "b", 1_000_000)).unwrap();
+    pool.enqueue(now, job(4, "b", 1_000_000)).unwrap();
+    let free = |pool: &Pool| {
+        pool.engines()
+            .iter()
+            .filter(|engine| engine.running() == 0)
+            .count()
+    };
+    assert!(pool.assign(now).is_empty());
+    assert_eq!(
+        free(&pool),
+        2,
+        "a gang that cannot have all of its engines takes none"
+    );
+    pool.enqueue(now, job(5, "c", 1_000)).unwrap();
+    assert_eq!(
+        sequences(&pool.assign(now)),
+        [5],
+        "short prompts start on earmarked engines"
+    );
+    for sequence in [1, 2, 5] {
+        pool.end(now, job(sequence, "a", 0).attempt);
+    }
+    let grants = pool.assign(now);
+    assert_eq!(sequences(&grants), [3]);
+    assert_eq!(grants[0].endpoints.len(), 4);
+    assert!(grants[0].part_tokens * 4 >= 1_000_000);
+    pool.end(now, grants[0].attempt);
+    assert_eq!(
+        sequences(&pool.assign(now)),
+        [4],
+        "the second gang follows, without a deadlock"
+    );
+}
+
+#[test]
+fn an_engine_that_leaves_gets_no_new_work_and_keeps_its_own() {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(1, "first_token");
+    pool.enqueue(now, job(1, "a", 1_000)).unwrap();
+    assert_eq!(pool.assign(now).len(), 1);
+    pool.report(
+        now,
+        Report {
+            leaving: true,
+            ..report("e0")
+        },
+    );
+    assert!(pool.enqueue(now, job(2, "a", 1_000)).is_err());
+    assert_eq!(pool.engines()[0].running(), 1);
+}
+
+/// A long randomised run: engines come and go, requests end or are withdrawn at any time.
+#[rstest]
+fn a_random_run_keeps_memory_bounded_and_no_engine_idle(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut pool = pool(4, "first_token");
+    let mut running: BTreeMap<u64, Grant> = BTreeMap::new();
+    let mut now = Instant::from_millis(1_000);
+    let (mut granted, mut gangs) = (0, 0);
+    for sequence in 0..6_000 {
+        now = now + Duration::from_millis(random.random_range(1..60));
+        let tokens = match random.random_range(0..100) {
+            0 => random.random_range(400_000..1_200_000),
+            1..10 => random.random_range(20_000..300_000),
+            _ => random.random_range(100..4_000),
+        };
+        let _ = pool.enqueue(
+            now,
+            job(sequence, ["a", "b", "c"][sequence as usize % 3], tokens),
+        );
+        if random.random_bool(0.02) {
+            let name = format!("e{}", random.random_range(0..4));
+            pool.remove(&Endpoint::from(name.as_str()));
+            running.retain(|_, grant| {
+                grant
+                    .endpoints
+                    .iter()
+                    .all(|endpoint| endpoint.as_str() != name)
+            });
+        }
+        for index in 0..4 {
+            if random.random_bool(0.5) {
+                pool.report(now, report(&format!("e{index}")));
+            }
+        }
+        for grant in pool.assign(now) {
+            granted += 1;
+            gangs += usize::from(grant.endpoints.len() > 1);
+            assert!(grant.endpoints.len() <= 4);
+            running.insert(grant.attempt.request.sequence, grant);
+        }
+        assert!(!pool.idle_while_waiting(), "at request {sequence}");
+        for engine in pool.engines() {
+            assert!(engine.kv_free() <= MEMORY);
+        }
+        let ended: Vec<_> = running
+            .keys()
+            .copied()
+            .filter(|_| random.random_bool(0.3))
+            .collect();
+        for sequence in ended {
+            let grant = running.remove(&sequence).expect("it runs");
+            pool.first_token(now, grant.attempt);
+            pool.end(now, grant.attempt);
+        }
+    }
+    assert!(
+        granted > 3_000 && gangs > 3,
+        "granted {granted}, gangs {gangs}"
+    );
+}
--- a/crates/node/src/api/answer.rs
+++ b/crates/node/src/api/answer.rs
@@ -58,9 +58,8 @@
     };
     let place = limits::take(&shared, &caller.workspace, need)
         .await
-        .map_err(|refusal| {
+        .inspect_err(|refusal| {
             shared.note(id, refusal.code(), refusal.to_string());
-            refusal
         })?;
     let trace = auth::text(&headers, "traceparent").to_owned();
     let work = work(
@@ -190,6 +189,8 @@
         deadline: arrived + admitted.limit,
         deferred: false,
         forwarded: false,
+        avoid_domains: Vec::new(),
+        sent: false,
         span,
     }
 }
@@ -420,7 +421,7 @@
 }
 
 impl Shape {
-    fn document(&self, object: &str, choice: Value) -> Value {
+    fn document(&self, object: &str, choice: &Value) -> Value {
         let prefix = match self.kind {
             Kind::Chat => "chatcmpl",
             Kind::Text => "cmpl",
@@ -448,7 +449,7 @@
                 json!({ "index": 0, "text": whole.text, "finish_reason": "stop" }),
             ),
         };
-        let mut document = self.document(object, choice);
+        let mut document = self.document(object, &choice);
         document["usage"] = usage_json(whole.usage);
         document
     }
@@ -474,7 +475,7 @@
             Kind::Chat => "chat.completion.chunk",
             Kind::Text => "text_completion",
         };
-        self.document(object, choice.clone())
+        self.document(object, choice)
     }
 
     fn last_chunk(&self, usage: Usage, include_usage: bool) -> Value {
--- a/crates/node/src/api/service.rs
+++ b/crates/node/src/api/service.rs
@@ -50,7 +50,7 @@
         id,
         workspace: caller.workspace,
         service: Service::from(path.0),
-        call: path.1,
+        name: path.1,
         key,
         body,
         deadline,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -15,6 +15,8 @@
 use crate::shared::Shared;
 use crate::{follow, peer};
 
+/// Time between two looks at a claim that another attempt holds.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// Longest wait for a claim to be read back.
 const READ_BACK: Duration = Duration::from_secs(3);
 /// How long a refused caller should wait for the log.
@@ -28,7 +30,7 @@
     pub id: Id,
     pub workspace: Workspace,
     pub service: Service,
-    pub call: String,
+    pub name: String,
     pub key: String,
     pub body: String,
     pub deadline: Instant,
@@ -41,7 +43,7 @@
     fn claim_key(&self) -> String {
         format!(
             "{}/{}/{}/{}",
-            self.workspace, self.service, self.call, self.key
+            self.workspace, self.service, self.name, self.key
         )
     }
 
@@ -53,11 +55,11 @@
 /// Makes a call and returns the service's answer.
 pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Result<Answer, Refusal> {
     let lists = shared.tables.lists();
-    let Some(entry) = lists.call(&call.service, &call.call) else {
+    let Some(entry) = lists.call(&call.service, &call.name) else {
         let what = format!(
             "service {:?} has no call {:?}",
             call.service.as_str(),
-            call.call
+            call.name
         );
         return Err(Refusal::NotFound(
             what,
@@ -126,7 +128,7 @@
         request: call.id,
         workspace: call.workspace.clone(),
         service: call.service.clone(),
-        call: call.call.clone(),
+        call: call.name.clone(),
         key: call.key.clone(),
         body: call.body.clone(),
         remaining: remaining.saturating_sub(DEADLINE_MARGIN),
@@ -151,7 +153,7 @@
         id: call.request,
         workspace: call.workspace,
         service: call.service,
-        call: call.call,
+        name: call.call,
         key: call.key,
         body: call.body,
         deadline: shared.now() + call.remaining,
@@ -185,7 +187,7 @@
         let limit = left.div_f64(f64::from(u32::try_from(tries - number).unwrap_or(1)));
         let service = &services[(first + number) % services.len()];
         let body = bytes::Bytes::from(call.body.clone());
-        match service.call(&call.call, &call.key, body, limit).await {
+        match service.call(&call.name, &call.key, body, limit).await {
             Ok(answer) if answer.status < 500 => return Ok(answer),
             Ok(_) | Err(_) => shared.note(call.id, "call_failed", format!("number={number}")),
         }
@@ -203,7 +205,7 @@
     if call.key.is_empty() {
         let what = format!(
             "call {:?} may not be repeated and has no idempotency key",
-            call.call
+            call.name
         );
         return Err(Refusal::Invalid(
             what,
@@ -287,7 +289,6 @@
             }
             verdict => return Ok(verdict),
         }
-        const LOOK_AGAIN: Duration = Duration::from_millis(200);
         let until = deadline.min(tokio::time::Instant::now() + LOOK_AGAIN);
         let _ = tokio::time::timeout_at(until, claimed).await;
         if tokio::time::Instant::now() >= deadline {
@@ -312,7 +313,7 @@
         }
         let service = &services[(first + number) % services.len()];
         let body = bytes::Bytes::from(call.body.clone());
-        match service.call(&call.call, &call.key, body, left).await {
+        match service.call(&call.name, &call.key, body, left).await {
             Ok(answer) => {
                 shared.tables.outbox.settle(Record::Outcome {
                     key: key.to_owned(),
@@ -322,7 +323,7 @@
                 return Ok(answer);
             }
             Err(Missing::NotSent) => {
-                shared.note(call.id, "call_not_sent", format!("number={number}"))
+                shared.note(call.id, "call_not_sent", format!("number={number}"));
             }
             Err(Missing::Uncertain) => {
                 shared.note(call.id, "call_unknown", format!("key={key}"));
--- a/crates/node/src/deferred.rs
+++ b/crates/node/src/deferred.rs
@@ -21,7 +21,7 @@
 /// Time between two looks for copies whose owner is dead.
 const ADOPT_EVERY: Duration = Duration::from_secs(1);
 /// How long an answer can be fetched.
-const ANSWER_KEPT: Duration = Duration::from_secs(3_600);
+const ANSWER_KEPT: Duration = Duration::from_hours(1);
 /// Most deferred requests and copies at one node.
 const MOST: usize = 10_000;
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -198,7 +198,7 @@
         }
     }
     loop {
-        const LONGEST_FLIGHT: Duration = Duration::from_secs(3_600);
+        const LONGEST_FLIGHT: Duration = Duration::from_hours(1);
         match connection.receive(LONGEST_FLIGHT).await? {
             Frame::FirstToken => ticket.first_token(),
             _ => return Err(Error::Closed),
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -21,7 +21,7 @@
 /// Idle connections kept for one node.
 const IDLE_CONNECTIONS: usize = 32;
 /// How long a connection may stay open between two calls.
-const IDLE_TIME: Duration = Duration::from_secs(60);
+const IDLE_TIME: Duration = Duration::from_mins(1);
 
 /// Connections to other nodes.
 pub(crate) struct Peers {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -63,6 +63,10 @@
     pub deferred: bool,
     /// Whether another failure domain sent the request here.
     pub forwarded: bool,
+    /// Failure domains that the request could not be forwarded to.
+    pub avoid_domains: Vec<Domain>,
+    /// Whether a byte of the request may have left for an endpoint.
+    pub sent: bool,
     pub span: Span,
 }
 
@@ -139,7 +143,7 @@
             telemetry::ended("caller_gone");
             return;
         }
-        Ok(Err(Ended::Refused(refusal))) => Item::Refused(refusal),
+        Ok(Err(Ended::Refused(refusal))) => Item::Refused(truthful(refusal, work.sent)),
         Ok(Err(Ended::Fault(fault, _))) => {
             Item::Refused(Refusal::Exhausted(1, fault.as_str().to_owned()))
         }
@@ -150,6 +154,14 @@
     let _ = sink.send(last).await;
 }
 
+/// A refusal that says `not_run` only when nothing was sent.
+fn truthful(refusal: Refusal, sent: bool) -> Refusal {
+    if sent && refusal.outcome() == Outcome::NotRun {
+        return Refusal::Exhausted(1, refusal.code().to_owned());
+    }
+    refusal
+}
+
 fn finish(shared: &Shared, work: &Work, last: &Item) {
     let now = shared.now();
     invariant::check(now <= work.deadline, || {
@@ -219,17 +231,9 @@
 ) -> Result<Usage, Ended> {
     if !work.forwarded
         && let Some(domain) = better_domain(shared, work)
+        && let Some(ended) = spill(shared, work, &domain, sink).await
     {
-        match forward(shared, work, &domain, sink).await {
-            Err(Ended::Refused(refusal)) if refusal.outcome() == Outcome::NotRun => {
-                shared.note(
-                    work.id,
-                    "spill_refused",
-                    format!("domain={domain} reason={refusal}"),
-                );
-            }
-            ended => return ended,
-        }
+        return ended;
     }
     match granted(shared, work, number, avoid).await {
         Ok((grant, ticket)) => run_grant(shared, work, &grant, ticket, sink).await,
@@ -237,17 +241,41 @@
             let Some(domain) = other_domain(shared, work) else {
                 return Err(Ended::Refused(refusal));
             };
-            shared.note(
-                work.id,
-                "spilled",
-                format!("domain={domain} reason={refusal}"),
-            );
-            forward(shared, work, &domain, sink).await
+            let reason = format!("domain={domain} reason={refusal}");
+            shared.note(work.id, "spilled", reason);
+            let spilled = spill(shared, work, &domain, sink).await;
+            spilled.unwrap_or(Err(Ended::Refused(refusal)))
         }
         Err(ended) => Err(ended),
     }
 }
 
+/// Lets another failure domain run the request; `None` when nothing ran there.
+///
+/// A domain that could not be used is avoided from then on.
+async fn spill(
+    shared: &Arc<Shared>,
+    work: &mut Work,
+    domain: &Domain,
+    sink: &mpsc::Sender<Item>,
+) -> Option<Result<Usage, Ended>> {
+    let ended = forward(shared, work, domain, sink).await;
+    let nothing_ran = match &ended {
+        Err(Ended::Refused(refusal)) => refusal.outcome() == Outcome::NotRun,
+        Err(Ended::Fault(fault, _)) => *fault == Fault::Unreachable,
+        _ => false,
+    };
+    work.sent |= !nothing_ran;
+    if matches!(ended, Err(Ended::Refused(_) | Ended::Fault(..))) {
+        work.avoid_domains.push(domain.clone());
+    }
+    if !nothing_ran {
+        return Some(ended);
+    }
+    shared.note(work.id, "spill_failed", format!("domain={domain}"));
+    None
+}
+
 /// Waits for an engine of this failure domain.
 async fn granted(
     shared: &Arc<Shared>,
@@ -352,6 +380,7 @@
         .iter()
         .map(|endpoint| Hold::new(shared, endpoint, grant.attempt))
         .collect();
+    work.sent = true;
     let span = shared.tracing.child("engine", &work.span);
     let trace = span.header();
     let parts = split(&work.prompt, grant.endpoints.len());
@@ -511,6 +540,7 @@
     digests
         .values()
         .filter(|entry| entry.model == work.model && entry.domain != shared.domain)
+        .filter(|entry| !work.avoid_domains.contains(&entry.domain))
         .filter(|entry| entry.digest.engines > 0)
         .map(|entry| (entry.domain.clone(), wait(&entry.digest, work)))
         .min_by_key(|(_, wait)| *wait)
@@ -650,6 +680,8 @@
         deadline: now + forward.remaining,
         deferred: false,
         forwarded: true,
+        avoid_domains: Vec::new(),
+        sent: false,
         span: shared.tracing.root("forwarded", &forward.trace),
     }
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -25,6 +25,7 @@
 /// All settings of a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[derive(Default)]
 pub struct Settings {
     /// Name of the host; unique in the fleet.
     pub host: String,
@@ -136,25 +137,6 @@
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), port)
 }
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            host: String::new(),
-            domain: String::new(),
-            fleet_key: String::new(),
-            operator_key_hashes: Vec::new(),
-            listen: Listen::default(),
-            contacts: Vec::new(),
-            platform: Platform::default(),
-            routing: Routing::default(),
-            admission: Admission::default(),
-            times: Times::default(),
-            log: Log::default(),
-            trace: Trace::default(),
-        }
-    }
-}
-
 impl Default for Listen {
     fn default() -> Self {
         Self {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -58,24 +58,24 @@
     }
 }
 
+/// Forgets the engines that this node no longer watches, and what it held at unlisted ones.
 fn forget_unlisted(shared: &Shared, watched: &[(EndpointEntry, Arc<dyn Engine>)]) {
-    let listed = |name: &Endpoint| {
-        watched
-            .iter()
-            .any(|(entry, _)| entry.name.as_str() == name.as_str())
-    };
-    let gone: Vec<_> = {
+    let named = |entry: &EndpointEntry, name: &Endpoint| entry.name.as_str() == name.as_str();
+    let unwatched: Vec<_> = {
         let sights = shared.tables.sights.lock();
-        sights
-            .reports
-            .keys()
-            .filter(|name| !listed(name))
-            .cloned()
-            .collect()
+        let seen = sights.reports.keys();
+        let unwatched = seen.filter(|name| !watched.iter().any(|(entry, _)| named(entry, name)));
+        unwatched.cloned().collect()
     };
-    for name in gone {
+    let lists = shared.tables.lists();
+    for name in unwatched {
         remove(shared, &name);
-        shared.tables.ledger.lock().forget_endpoint(&name);
+        if !lists
+            .endpoints(&shared.domain)
+            .any(|entry| named(entry, &name))
+        {
+            shared.tables.ledger.lock().forget_endpoint(&name);
+        }
     }
 }
 
@@ -241,10 +241,8 @@
     };
     let now = shared.now();
     let abandoned = {
-        let members = shared.tables.members.lock();
-        ledger::sweep(shared.incarnation, &holdings, |holder| {
-            members.dead_for(now, holder)
-        })
+        let mut members = shared.tables.members.lock();
+        ledger::sweep(&holdings, |holder| members.standing(now, holder))
     };
     for attempt in abandoned {
         log::info!("event=swept endpoint={name} attempt={attempt}");
