End-to-end tests by feature; claims readable at once after a start; a queued part starts when memory is freed

Found by the tests: (1) the claims follower waited a whole long poll before it counted as current, so bookings were refused for the first second; it now asks for the end at once. (2) A gang avoided an engine that had failed it even when too few others were left, and never started. (3) The engine stand-in did not look at its queue when memory was freed.

--- a/bin/filbertctl/src/caller.rs
+++ b/bin/filbertctl/src/caller.rs
@@ -84,6 +84,15 @@
 
 /// Sends a streamed completion and checks its text.
 pub async fn complete(address: SocketAddr, ask: Ask<'_>) -> Seen {
+    complete_watched(address, ask, &mut |_| {}).await
+}
+
+/// Like [`complete`], and tells `watch` how many tokens have arrived after each.
+pub async fn complete_watched(
+    address: SocketAddr,
+    ask: Ask<'_>,
+    watch: &mut (dyn FnMut(usize) + Send),
+) -> Seen {
     let started = Instant::now();
     let mut seen = Seen {
         end: End::NodeLost,
@@ -94,8 +103,11 @@
         text: String::new(),
         error: String::new(),
     };
-    let outcome =
-        tokio::time::timeout(ask.limit + GRACE, stream(address, ask, started, &mut seen)).await;
+    let outcome = tokio::time::timeout(
+        ask.limit + GRACE,
+        stream(address, ask, started, &mut seen, watch),
+    )
+    .await;
     seen.end = outcome.unwrap_or(End::Late);
     seen.total = started.elapsed();
     if ask.last_event.is_empty() {
@@ -108,7 +120,14 @@
     seen
 }
 
-async fn stream(address: SocketAddr, ask: Ask<'_>, started: Instant, seen: &mut Seen) -> End {
+async fn stream(
+    address: SocketAddr,
+    ask: Ask<'_>,
+    started: Instant,
+    seen: &mut Seen,
+    watch: &mut (dyn FnMut(usize) + Send),
+) -> End {
+    let mut tokens = 0;
     let body = json!({
         "model": ask.model,
         "prompt": ask.prompt,
@@ -161,6 +180,8 @@
         if !text.is_empty() {
             seen.first_token.get_or_insert_with(|| started.elapsed());
             seen.text.push_str(text);
+            tokens += 1;
+            watch(tokens);
         }
         if let Some(id) = event.id() {
             id.clone_into(&mut seen.last_event);
--- a/bin/filbertctl/src/fleet/member.rs
+++ b/bin/filbertctl/src/fleet/member.rs
@@ -122,6 +122,12 @@
         self.node.ready()
     }
 
+    /// Number of other nodes that the node knows to be alive.
+    #[must_use]
+    pub fn peers(&self) -> usize {
+        self.node.peers()
+    }
+
     /// The name of the host.
     #[must_use]
     pub fn host(&self) -> &str {
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -250,16 +250,18 @@
         Ok(())
     }
 
-    /// Waits until every running node is ready and knows its engines.
+    /// Waits until every running node is ready and knows the others and its engines.
     ///
     /// # Errors
     ///
     /// When that takes more than ten seconds.
     pub async fn wait_ready(&self) -> io::Result<()> {
         const LONGEST: Duration = Duration::from_secs(10);
-        const SETTLE: Duration = Duration::from_millis(800);
+        const SETTLE: Duration = Duration::from_millis(500);
+        let others = self.members().count() - 1;
+        let settled = |member: &Member| member.ready() && member.peers() >= others;
         let ready = async {
-            while !self.members().all(Member::ready) {
+            while !self.members().all(settled) {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             tokio::time::sleep(SETTLE).await;
--- /dev/null
+++ b/bin/filbertctl/tests/suite/failures.rs
@@ -0,0 +1,146 @@
+//! Engines and nodes that fail while requests run.
+
+use std::time::Duration;
+
+use fakes::engine::Faults;
+use filbertctl::caller::{self, End};
+use filbertctl::fleet;
+use filbertctl::scenario;
+use rstest::rstest;
+
+use crate::{ask, eventually, small};
+
+/// Finds the engine that holds memory and injects `fault` there.
+fn strike(fleet: &fleet::Fleet, fault: Faults) {
+    let busy = fleet
+        .engines
+        .iter()
+        .find(|member| member.engine.kv_used() > 0);
+    let busy = busy.expect("an engine runs the request");
+    busy.engine.inject(&busy.server, fault);
+}
+
+#[rstest]
+#[case::dies(Faults::Die(Duration::from_secs(2)))]
+#[case::connections_cut(Faults::Cut)]
+#[case::connections_silent(Faults::Silence)]
+#[case::end_marker_cut(Faults::Truncate)]
+#[case::stands_still(Faults::Stall(Duration::from_secs(4)))]
+#[tokio::test]
+async fn an_answer_goes_on_elsewhere_when_its_engine_fails_in_the_middle(#[case] fault: Faults) {
+    let fleet = small(1, 2).await;
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(3_000, 9));
+    let struck = &fleet;
+    let mut strike_once = |tokens: usize| {
+        if tokens == 3 {
+            strike(struck, fault);
+        }
+    };
+    let seen = caller::complete_watched(address, ask(&key, &prompt), &mut strike_once).await;
+    assert_eq!(seen.end, End::Whole, "{}", seen.error);
+    assert_eq!(seen.text, fakes::text::answer(&prompt, 64));
+    assert!(seen.total < Duration::from_secs(6), "took {:?}", seen.total);
+    eventually("freeing", || fleet.kv_used() == 0).await;
+}
+
+#[tokio::test]
+async fn an_engine_that_dies_before_the_first_token_is_replaced() {
+    let fleet = small(1, 2).await;
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(60_000, 9));
+    let asked = caller::complete(address, ask(&key, &prompt));
+    let struck = async {
+        eventually("prefill", || fleet.kv_used() > 0).await;
+        strike(&fleet, Faults::Die(Duration::from_secs(2)));
+    };
+    let (seen, ()) = tokio::join!(asked, struck);
+    assert_eq!(seen.end, End::Whole, "{}", seen.error);
+}
+
+#[tokio::test]
+async fn lost_answers_to_freeing_neither_lose_nor_repeat_anything() {
+    let fleet = small(1, 1).await;
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(30_000, 9));
+    let member = &fleet.engines[0];
+    member.engine.inject(
+        &member.server,
+        Faults::LoseFreeAnswers(Duration::from_secs(2)),
+    );
+    let asked = caller::complete(address, ask(&key, &prompt));
+    // The caller leaves in the middle of the prefill.
+    let _ = tokio::time::timeout(Duration::from_millis(200), asked).await;
+    eventually("freeing", || fleet.kv_used() == 0).await;
+    let seen = caller::complete(address, ask(&key, &prompt)).await;
+    assert_eq!(seen.end, End::Whole, "{}", seen.error);
+}
+
+#[tokio::test]
+async fn another_node_frees_what_a_dead_one_left_and_nothing_of_a_live_one() {
+    let mut fleet = small(2, 2).await;
+    let callers = fleet.callers();
+    let key = fleet::key(0);
+    let prompts = [scenario::prompt(150_000, 1), scenario::prompt(150_000, 2)];
+    let dead = tokio::spawn({
+        let (address, key, prompt) = (callers[0], key.clone(), prompts[0].clone());
+        async move { caller::complete(address, ask(&key, &prompt)).await }
+    });
+    eventually("prefill", || fleet.kv_used() > 0).await;
+    fleet.kill(0);
+    let live = caller::complete(callers[1], ask(&key, &prompts[1])).await;
+    assert_eq!(live.end, End::Whole, "{}", live.error);
+    assert_eq!(dead.await.expect("no panic").end, End::NodeLost);
+    eventually("sweeping", || fleet.kv_used() == 0).await;
+}
+
+#[tokio::test]
+async fn the_only_node_of_a_domain_frees_what_its_former_incarnation_left() {
+    let mut fleet = small(1, 1).await;
+    let (key, prompt) = (fleet::key(0), scenario::prompt(150_000, 1));
+    let address = fleet.callers()[0];
+    let asked = tokio::spawn(async move { caller::complete(address, ask(&key, &prompt)).await });
+    eventually("prefill", || fleet.kv_used() > 0).await;
+    fleet.kill(0);
+    assert_eq!(asked.await.expect("no panic").end, End::NodeLost);
+    fleet.start_node(0).await.expect("it starts");
+    eventually("sweeping", || fleet.kv_used() == 0).await;
+}
+
+#[tokio::test]
+async fn an_engine_that_leaves_gets_no_new_work_and_its_streams_end_whole() {
+    let fleet = small(1, 2).await;
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(60_000, 9));
+    let asked = caller::complete(address, ask(&key, &prompt));
+    let leave = async {
+        eventually("prefill", || fleet.kv_used() > 0).await;
+        let busy = fleet
+            .engines
+            .iter()
+            .position(|member| member.engine.kv_used() > 0)
+            .expect("one runs");
+        fleet.engines[busy].engine.leave();
+        busy
+    };
+    let (seen, left) = tokio::join!(asked, leave);
+    assert_eq!(seen.end, End::Whole, "{}", seen.error);
+    for seed in 0..4 {
+        let prompt = scenario::prompt(1_000, 100 + seed);
+        let seen = caller::complete(address, ask(&key, &prompt)).await;
+        assert_eq!(seen.end, End::Whole, "{}", seen.error);
+        assert_eq!(fleet.engines[left].engine.kv_used(), 0);
+    }
+}
+
+#[tokio::test]
+async fn a_node_that_drains_cuts_no_stream_and_is_not_ready_at_once() {
+    let mut fleet = small(2, 2).await;
+    let callers = fleet.callers();
+    let (key, prompt) = (fleet::key(0), scenario::prompt(60_000, 9));
+    let asked = tokio::spawn(async move { caller::complete(callers[0], ask(&key, &prompt)).await });
+    eventually("prefill", || fleet.kv_used() > 0).await;
+    assert!(fleet.drain(0).await, "it drains whole");
+    let seen = asked.await.expect("no panic");
+    assert_eq!(seen.end, End::Whole, "{}", seen.error);
+}
--- /dev/null
+++ b/bin/filbertctl/tests/suite/main.rs
@@ -0,0 +1,103 @@
+//! End-to-end tests by feature: real nodes and stand-ins over loopback.
+
+mod calls;
+mod failures;
+mod lists;
+mod serving;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertctl::caller::Ask;
+use filbertctl::fleet::{Fleet, MODEL, Plan};
+use http::Method;
+use platform::http::{Call, Connection};
+use serde_json::Value;
+
+/// Time limit of requests that are to end well.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A fleet of engines that run `scale` times faster than real ones.
+async fn fleet(domains: &[(&str, usize, usize, usize)], scale: u32) -> Fleet {
+    start_log();
+    Fleet::start(Plan::new(domains, scale))
+        .await
+        .expect("the fleet starts")
+}
+
+/// Shows the nodes' logs when TEST_LOG names a level.
+fn start_log() {
+    let level = std::env::var("TEST_LOG")
+        .ok()
+        .and_then(|level| level.parse().ok());
+    if let Some(level) = level {
+        let config = simplelog::ConfigBuilder::new()
+            .add_filter_allow_str("filbert")
+            .build();
+        // Only the first test of the process installs the logger.
+        let _ = simplelog::SimpleLogger::init(level, config);
+    }
+}
+
+/// A fleet of one failure domain.
+async fn small(nodes: usize, engines: usize) -> Fleet {
+    fleet(&[("charnwood", nodes, engines, 1)], 4).await
+}
+
+fn ask<'a>(key: &'a str, prompt: &'a str) -> Ask<'a> {
+    Ask {
+        key,
+        model: MODEL,
+        prompt,
+        answer_tokens: 64,
+        limit: LIMIT,
+        last_event: "",
+    }
+}
+
+/// Waits until `holds` is true.
+async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let looked = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let longest = Duration::from_secs(30);
+    assert!(
+        tokio::time::timeout(longest, looked).await.is_ok(),
+        "{what} did not happen"
+    );
+}
+
+/// Sends a request and returns the status, the headers that matter, and the JSON body.
+async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> (u16, Option<String>, Value) {
+    use volo_http::body::BodyConversion;
+    let call = Call {
+        method,
+        path,
+        headers,
+        body: bytes::Bytes::from(body),
+    };
+    let response = Connection::new(address)
+        .send(call, LIMIT)
+        .await
+        .expect("an answer");
+    let status = response.status().as_u16();
+    let retry_after = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let body = response.into_body().into_vec().await.expect("a body");
+    (
+        status,
+        retry_after,
+        serde_json::from_slice(&body).unwrap_or_default(),
+    )
+}
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -292,6 +292,8 @@
                 return error(503, "the engine is gone");
             }
             state.batch.free(body.attempt);
+            // Freed memory may let a queued stream start.
+            self.work.notify_one();
             state
                 .losing_until
                 .is_some_and(|until| until > Instant::now())
--- a/crates/kernel/src/schedule/gang.rs
+++ b/crates/kernel/src/schedule/gang.rs
@@ -70,9 +70,7 @@
         if self.owner.is_some_and(|owner| owner != waiting.job.attempt) {
             return None;
         }
-        let mut order: Vec<usize> = (0..engines.len())
-            .filter(|index| usable(&engines[*index], waiting, shape))
-            .collect();
+        let mut order = usable(engines, waiting, shape);
         order.sort_by_key(|index| {
             let engine = &engines[*index];
             let marked = self.engines.contains(&engine.report().endpoint);
@@ -115,9 +113,28 @@
     }
 }
 
-fn usable(engine: &Engine, waiting: &Waiting, shape: Shape) -> bool {
-    let report = engine.report();
-    !report.leaving
-        && report.kv_total >= shape.part_kv
-        && !waiting.job.avoid.contains(&report.endpoint)
+/// The engines that could hold a part; those that failed the request only when the others are too
+/// few.
+fn usable(engines: &[Engine], waiting: &Waiting, shape: Shape) -> Vec<usize> {
+    let fitting = |index: &usize| {
+        let report = engines[*index].report();
+        !report.leaving && report.kv_total >= shape.part_kv
+    };
+    let avoided = |index: &usize| {
+        waiting
+            .job
+            .avoid
+            .contains(&engines[*index].report().endpoint)
+    };
+    let all: Vec<_> = (0..engines.len()).filter(fitting).collect();
+    let fresh: Vec<_> = all
+        .iter()
+        .copied()
+        .filter(|index| !avoided(index))
+        .collect();
+    if fresh.len() >= shape.engines {
+        fresh
+    } else {
+        all
+    }
 }
--- a/crates/node/src/api/answer.rs
+++ b/crates/node/src/api/answer.rs
@@ -216,14 +216,14 @@
         remaining: admitted.limit,
         answer: None,
     };
-    deferred::accept(shared, kept).await?;
+    let copies = deferred::accept(shared, kept).await?;
     shared.note(
         id,
         "deferred",
-        format!("limit_ms={}", admitted.limit.as_millis()),
+        format!("limit_ms={} copies={copies}", admitted.limit.as_millis()),
     );
     let location = format!("/v1/deferred/{id}");
-    let body = json!({ "id": id.to_string(), "status": "pending", "location": location });
+    let body = json!({ "id": id.to_string(), "status": "pending", "copies": copies, "location": location });
     let mut response = json_response(StatusCode::ACCEPTED, &body);
     error::stamp(&mut response, id);
     Ok(response)
--- a/crates/node/src/deferred.rs
+++ b/crates/node/src/deferred.rs
@@ -20,6 +20,8 @@
 
 /// Time between two looks for copies whose owner is dead.
 const ADOPT_EVERY: Duration = Duration::from_secs(1);
+/// Wait before a deferred request that found no gap is tried again.
+const RETRY: Duration = Duration::from_secs(1);
 /// How long an answer can be fetched.
 const ANSWER_KEPT: Duration = Duration::from_hours(1);
 /// Most deferred requests and copies at one node.
@@ -111,19 +113,22 @@
     others
 }
 
-/// Takes a deferred request; it is accepted only when a second host has a copy or none is known.
-pub(crate) async fn accept(shared: &Arc<Shared>, kept: Kept) -> Result<(), Refusal> {
+/// Takes a deferred request and returns the number of hosts that have it.
+///
+/// It is accepted only when a second host has a copy, or when no other node is alive.
+pub(crate) async fn accept(shared: &Arc<Shared>, kept: Kept) -> Result<u32, Refusal> {
     let now = shared.now();
     if !shared.tables.deferred.lock().put(now, kept.clone()) {
         return Err(Refusal::Overloaded(ADOPT_EVERY));
     }
-    if !copy(shared, &kept).await && !others(shared).is_empty() {
+    let copied = copy(shared, &kept).await;
+    if !copied && !others(shared).is_empty() {
         shared.tables.deferred.lock().entries.remove(&kept.request);
         let what = "no second host could keep the request".to_owned();
         return Err(Refusal::Unavailable(what, ADOPT_EVERY));
     }
     tokio::spawn(run(Arc::clone(shared), kept.request));
-    Ok(())
+    Ok(1 + u32::from(copied))
 }
 
 /// Sends a copy to the first other node that takes it.
@@ -138,10 +143,9 @@
 }
 
 async fn run(shared: Arc<Shared>, id: Id) {
-    let Some(kept) = find(&shared, id) else {
+    let Some((kept, (status, body))) = run_until_ended(&shared, id).await else {
         return;
     };
-    let (status, body) = api::run_deferred(&shared, &kept).await;
     let ended = Kept {
         answer: Some((status, body)),
         ..kept
@@ -151,6 +155,19 @@
     copy(&shared, &ended).await;
 }
 
+/// Runs a deferred request, again when there was no gap for it, until it has ended.
+async fn run_until_ended(shared: &Arc<Shared>, id: Id) -> Option<(Kept, (u16, String))> {
+    loop {
+        let kept = find(shared, id)?;
+        let answer = api::run_deferred(shared, &kept).await;
+        let no_gap = matches!(answer.0, 429 | 503);
+        if !no_gap || kept.remaining < RETRY {
+            return Some((kept, answer));
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
 /// Runs the copies whose owner is dead, for ever.
 pub(crate) async fn adopt(shared: Arc<Shared>) {
     loop {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -91,7 +91,13 @@
     loop {
         let from = position();
         let asked = shared.now();
-        match shared.outside.log.read(stream, from, WAIT).await {
+        // A reader that does not know the end asks for it at once instead of waiting for news.
+        let wait = if fresh(mark, asked, CLAIMS_STALE) {
+            WAIT
+        } else {
+            Duration::ZERO
+        };
+        match shared.outside.log.read(stream, from, wait).await {
             Ok(batch) => {
                 apply(&batch);
                 // The end that was read is as old as the question.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,6 +79,13 @@
         self.nodes
     }
 
+    /// Number of other nodes that the node knows to be alive.
+    #[must_use]
+    pub fn peers(&self) -> usize {
+        let now = self.shared.now();
+        self.shared.tables.members.lock().live(now).len() - 1
+    }
+
     /// Whether the node may be sent work.
     #[must_use]
     pub fn ready(&self) -> bool {
