--- a/bin/filbertctl/src/cmd/load/mod.rs
+++ b/bin/filbertctl/src/cmd/load/mod.rs
@@ -10,7 +10,7 @@
 use super::arguments::{Arguments, Error};
 use super::{EXIT_FAILED, runtime};
 use crate::fleet::Plan;
-use crate::scenario::Scenario;
+use crate::scenario::{Arrival, SHORT_TOKENS, Scenario};
 use report::{Report, Run};
 
 pub const HELP: &str = "\
@@ -27,6 +27,7 @@
       --load F              Arrivals as a part of the engines' capacity [default: 0.7]
       --scale N             Engines run this many times faster than real ones [default: 5]
       --short-weight W      Weight of short requests from 0 to 1 [default: the scenario's]
+      --mixed-only          Leave out the run with the short prompts alone
       --plot FILE           Write a plot of the first token times (SVG)
       --json                Print JSON
       --log LEVEL           Show logs of this level
@@ -42,6 +43,7 @@
     "scale=",
     "short-weight=",
     "plot=",
+    "mixed-only",
 ];
 
 /// What is measured.
@@ -52,6 +54,7 @@
     load: f64,
     scale: u32,
     short_weight: Option<f64>,
+    mixed_only: bool,
 }
 
 impl Setup {
@@ -76,6 +79,7 @@
         load: arguments.value("load")?.unwrap_or(0.7),
         scale: arguments.value("scale")?.unwrap_or(5),
         short_weight: arguments.value("short-weight")?,
+        mixed_only: arguments.flag("mixed-only"),
     };
     let policies: String = arguments
         .value("policy")?
@@ -126,26 +130,22 @@
     let arrivals = setup
         .scenario
         .arrivals(&plan, setup.seed, setup.time, setup.load);
-    let short = arrivals
-        .iter()
-        .filter(|arrival| arrival.tokens <= crate::scenario::SHORT_TOKENS);
-    let short: Vec<_> = short.cloned().collect();
-    let mixed = runtime()?.block_on(run::run(
-        &plan,
-        &arrivals,
-        &format!("{policy}, all prompts"),
-    ));
-    let alone = runtime()?.block_on(run::run(
-        &plan,
-        &short,
-        &format!("{policy}, short prompts alone"),
-    ));
     let unusable =
         |error: std::io::Error| Error::Unusable(format!("the fleet did not start: {error}"));
+    let title = format!("{policy}, all prompts");
+    let mixed = runtime()?.block_on(run::run(&plan, &arrivals, &title));
+    let mixed = mixed.map_err(unusable)?;
+    if setup.mixed_only {
+        return Ok(Run::new(policy, &plan, &mixed, None));
+    }
+    let is_short = |arrival: &&Arrival| arrival.tokens <= SHORT_TOKENS;
+    let short: Vec<_> = arrivals.iter().filter(is_short).cloned().collect();
+    let title = format!("{policy}, short prompts alone");
+    let alone = runtime()?.block_on(run::run(&plan, &short, &title));
     Ok(Run::new(
         policy,
         &plan,
-        &mixed.map_err(unusable)?,
-        &alone.map_err(unusable)?,
+        &mixed,
+        Some(&alone.map_err(unusable)?),
     ))
 }
--- a/bin/filbertctl/src/cmd/load/report.rs
+++ b/bin/filbertctl/src/cmd/load/report.rs
@@ -43,7 +43,7 @@
     pub late: usize,
     pub leaked_bytes: u64,
     pub wrong_answers: usize,
-    pub short_blocking_p95: f64,
+    pub short_blocking_p95: Option<f64>,
     pub goodput_tokens: u64,
     pub buckets: Vec<Bucket>,
 }
@@ -117,7 +117,7 @@
 
 impl Run {
     /// Sums up a run with all prompts and one with the short ones alone.
-    pub fn new(policy: &str, plan: &Plan, mixed: &Seen, alone: &Seen) -> Self {
+    pub fn new(policy: &str, plan: &Plan, mixed: &Seen, alone: Option<&Seen>) -> Self {
         let count = |ends: &[End]| {
             mixed
                 .samples
@@ -126,7 +126,8 @@
                 .count()
         };
         let together = millis(&first_tokens(short(&mixed.samples)), 0.95);
-        let apart = millis(&first_tokens(short(&alone.samples)), 0.95);
+        let apart = alone.map(|seen| millis(&first_tokens(short(&seen.samples)), 0.95));
+        let alone_leaked = alone.map_or(0, |seen| seen.leaked_tokens);
         let whole = mixed
             .samples
             .iter()
@@ -138,9 +139,9 @@
             failed: count(&[End::Failed, End::Unknown, End::NodeLost]),
             not_run: count(&[End::NotRun]),
             late: count(&[End::Late]),
-            leaked_bytes: (mixed.leaked_tokens + alone.leaked_tokens) * KV_BYTES_PER_TOKEN,
+            leaked_bytes: (mixed.leaked_tokens + alone_leaked) * KV_BYTES_PER_TOKEN,
             wrong_answers: count(&[End::Wrong]),
-            short_blocking_p95: together / apart.max(f64::EPSILON),
+            short_blocking_p95: apart.map(|apart| together / apart.max(f64::EPSILON)),
             goodput_tokens: whole.map(|sample| sample.tokens).sum(),
             buckets: BANDS
                 .iter()
@@ -173,10 +174,9 @@
                 run.wrong_answers,
                 run.leaked_bytes
             );
-            println!(
-                "short prompts' p95 first token over that without long ones: {:.2}",
-                run.short_blocking_p95
-            );
+            if let Some(ratio) = run.short_blocking_p95 {
+                println!("short prompts' p95 first token over that without long ones: {ratio:.2}");
+            }
             println!(
                 "{:>12} {:>9} {:>10} {:>10} {:>10} {:>14}",
                 "tokens up to", "requests", "p50 ms", "p95 ms", "p99 ms", "p95 over floor"
--- a/bin/filbertctl/src/cmd/mod.rs
+++ b/bin/filbertctl/src/cmd/mod.rs
@@ -1,12 +1,15 @@
 //! The subcommands of `filbertctl`.
 
 mod arguments;
+mod cost;
 mod demo;
 mod explain;
 mod load;
 mod operator;
 mod publish;
+mod slopes;
 mod soak;
+mod stand_ins;
 mod status;
 
 use std::process::ExitCode;
@@ -29,12 +32,15 @@
 Usage: filbertctl COMMAND [OPTIONS]
 
 Commands:
-  demo     Run a node and stand-ins in one process and serve a prompt of each length
-  publish  Publish a change to the plan or usage list
-  status   Show hosts, endpoints, leases, list versions and unknown outcomes
-  explain  Show every decision on a request
-  load     Measure policies under the same seeded arrivals
-  soak     Run random load under random faults and check what must always hold
+  demo       Run a node and stand-ins in one process and serve a prompt of each length
+  publish    Publish a change to the plan or usage list
+  status     Show hosts, endpoints, leases, list versions and unknown outcomes
+  explain    Show every decision on a request
+  load       Measure policies under the same seeded arrivals
+  soak       Run random load under random faults and check what must always hold
+  slopes     Measure the kernel's state machines at growing sizes
+  stand-ins  Run stand-ins for a node that runs as a process of its own
+  cost       Measure the cost of a node that runs as a process of its own
 
 Every command takes --help and --json.
 
@@ -54,7 +60,7 @@
     run: fn(&mut Arguments) -> Result<ExitCode, Error>,
 }
 
-const COMMANDS: [Command; 6] = [
+const COMMANDS: [Command; 9] = [
     Command {
         name: "demo",
         help: demo::HELP,
@@ -91,6 +97,24 @@
         flags: soak::FLAGS,
         run: soak::run,
     },
+    Command {
+        name: "slopes",
+        help: slopes::HELP,
+        flags: slopes::FLAGS,
+        run: slopes::run,
+    },
+    Command {
+        name: "stand-ins",
+        help: stand_ins::HELP,
+        flags: stand_ins::FLAGS,
+        run: stand_ins::run,
+    },
+    Command {
+        name: "cost",
+        help: cost::HELP,
+        flags: cost::FLAGS,
+        run: cost::run,
+    },
 ];
 
 /// Runs the command line.
--- /dev/null
+++ b/bin/filbertctl/src/cmd/slopes.rs
@@ -0,0 +1,463 @@
+//! `filbertctl slopes`: measures the kernel's state machines at growing sizes.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::process::ExitCode;
+use std::time::{Duration, Instant as Clock};
+
+use kernel::claim::{Answer, Book, Claim, Record};
+use kernel::fold::{Fold, change_record};
+use kernel::journal::Journal;
+use kernel::lists::{Change, Plan};
+use kernel::membership::{Entry, INTERVAL, Table};
+use kernel::prelude::*;
+use kernel::request::{Attempt, Id, Incarnation};
+use kernel::schedule::{Digest, Job, Pool, Report, Setting};
+use kernel::share::{Meter, Need, Part};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use serde_json::json;
+use wire::{Heartbeat, PoolEntry, datagram};
+
+use super::arguments::{Arguments, Error};
+
+pub const HELP: &str = "\
+Measures the kernel's state machines at growing sizes in one process: processor time, memory and
+bytes for each unit of work. docs/CAPACITY.md is worked out from them.
+
+Usage: filbertctl slopes [OPTIONS]
+
+Options:
+      --json       Print JSON
+      --log LEVEL  Show logs of this level
+
+Exit codes: 0 measured, 2 usage
+";
+pub const FLAGS: &[&str] = &[];
+
+/// One measured value.
+#[derive(Debug, Serialize)]
+struct Line {
+    role: &'static str,
+    size: u64,
+    unit: &'static str,
+    value: f64,
+}
+
+// All commands have the same signature.
+#[allow(clippy::unnecessary_wraps)]
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let mut lines = Vec::new();
+    for nodes in [5, 13, 32, 64, 128] {
+        lines.extend(heartbeats(nodes));
+    }
+    for waiting in [10, 100, 1_000, 5_000] {
+        lines.extend(pool(60, waiting));
+    }
+    for engines in [8, 60, 480] {
+        lines.extend(pool(engines, 100));
+    }
+    for workspaces in [10, 100, 490, 2_000] {
+        lines.extend(lists(workspaces));
+    }
+    for keys in [1_000, 10_000, 100_000] {
+        lines.extend(claims(keys));
+    }
+    lines.extend(limits(490));
+    lines.extend(journal());
+    lines.push(report_bytes());
+    if arguments.flag("json") {
+        println!("{}", serde_json::to_string(&lines).unwrap_or_default());
+    } else {
+        for line in &lines {
+            println!(
+                "{:<22} {:>8} {:>14.2} {}",
+                line.role, line.size, line.value, line.unit
+            );
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Bytes that the process has allocated.
+fn allocated() -> usize {
+    // Statistics that cannot be read show as no memory at all, which the table makes visible.
+    let _ = tikv_jemalloc_ctl::epoch::advance();
+    tikv_jemalloc_ctl::stats::allocated::read().unwrap_or(0)
+}
+
+/// Memory that `make` allocates and keeps, in bytes, with what it made.
+#[allow(clippy::cast_precision_loss)]
+fn memory<T>(make: impl FnOnce() -> T) -> (f64, T) {
+    let before = allocated();
+    let kept = make();
+    (allocated().saturating_sub(before) as f64, kept)
+}
+
+/// Mean time of `count` runs of `work`, in microseconds.
+#[allow(clippy::cast_precision_loss)]
+fn micros(count: u64, mut work: impl FnMut(u64)) -> f64 {
+    let started = Clock::now();
+    for index in 0..count {
+        work(index);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn member(number: u64) -> Entry {
+    Entry {
+        host: Host::from(format!("entry-host-{number:04}")),
+        domain: Domain::from(format!("domain-{}", number % 3)),
+        address: format!("10.1.{}.{}:8081", number / 256, number % 256),
+        incarnation: Incarnation(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        counter: 345_600,
+        leaving: false,
+    }
+}
+
+/// A node that hears from `nodes` others: bytes a second, processor time, memory.
+#[allow(clippy::cast_precision_loss)]
+fn heartbeats(nodes: u64) -> Vec<Line> {
+    let mut random = SmallRng::seed_from_u64(1);
+    let now = Instant::from_millis(1_000);
+    let (bytes_kept, mut table) = memory(|| {
+        let mut table = Table::new(member(0));
+        let entries: Vec<_> = (1..nodes).map(member).collect();
+        table.hear(
+            now,
+            &kernel::membership::News {
+                entries,
+                beats: Vec::new(),
+            },
+        );
+        table
+    });
+    let pools: Vec<_> = (0..8).map(pool_entry).collect();
+    let (mut bytes, mut sent) = (0, 0);
+    let beats = 400;
+    let took = micros(beats, |index| {
+        let (news, targets) = table.beat(now, &mut random);
+        let pools = if index % 2 == 0 {
+            pools.clone()
+        } else {
+            Vec::new()
+        };
+        let datagram = datagram::encode(b"key", &Heartbeat { news, pools }).unwrap_or_default();
+        sent += targets.len();
+        bytes += datagram.len() * targets.len();
+        black_box(datagram::decode(b"key", &datagram).is_ok());
+    });
+    let seconds = INTERVAL.as_secs_f64() * beats as f64;
+    let line = |unit, value| Line {
+        role: "heartbeats",
+        size: nodes,
+        unit,
+        value,
+    };
+    vec![
+        line("bytes sent a second", bytes as f64 / seconds),
+        line("datagrams sent a second", sent as f64 / seconds),
+        line("us to make and read one", took),
+        line("bytes kept", bytes_kept),
+    ]
+}
+
+fn pool_entry(number: u64) -> PoolEntry {
+    PoolEntry {
+        domain: Domain::from("domain-1"),
+        model: Model::from(format!("model-{number}")),
+        host: Host::from("entry-host-0001"),
+        counter: 345_600,
+        digest: Digest {
+            short_wait: Duration::from_millis(12),
+            long_wait: Duration::from_secs(7),
+            engines: 60,
+            idle: 12,
+            waiting: 40,
+        },
+    }
+}
+
+fn report(number: u64) -> Report {
+    Report {
+        endpoint: Endpoint::from(format!("engine-{number:04}")),
+        model: Some(Model::from("model-1")),
+        version: "1".to_owned(),
+        adapters: Vec::new(),
+        prefill_rate: 9_000.0,
+        token_seconds: 0.02,
+        kv_total: 400_000,
+        kv_used: 0,
+        most_running: 64,
+        leaving: false,
+    }
+}
+
+fn job(sequence: u64, tokens: u64) -> Job {
+    Job {
+        attempt: Attempt {
+            request: Id {
+                incarnation: Incarnation(1),
+                sequence,
+            },
+            number: 1,
+        },
+        workspace: Workspace::from(format!("workspace-{}", sequence % 490)),
+        model: Model::from("model-1"),
+        prompt_tokens: tokens,
+        answer_tokens: 250,
+        prefix: vec![sequence; usize::try_from(tokens / 1_024).unwrap_or(0)],
+        remaining: Duration::from_hours(1),
+        waited: Duration::ZERO,
+        deferred: false,
+        avoid: Vec::new(),
+    }
+}
+
+/// A pool with `engines` engines and `waiting` waiting jobs: time of one request through it.
+#[allow(clippy::cast_precision_loss)]
+fn pool(engines: u64, waiting: u64) -> Vec<Line> {
+    const TOKENS: u64 = 13_000;
+    let now = Instant::from_millis(1_000);
+    let (kept, mut pool) = memory(|| {
+        let mut pool = Pool::new(Setting::default());
+        for number in 0..engines {
+            pool.report(now, report(number));
+        }
+        for sequence in 0..waiting {
+            // A job that the prediction refuses leaves the pool as it is.
+            let _ = pool.enqueue(now, job(sequence, TOKENS));
+        }
+        pool
+    });
+    let mut at = now;
+    let took = micros(200, |index| {
+        at = at + Duration::from_millis(2);
+        let _ = pool.enqueue(at, job(1_000_000 + index, 1_000));
+        for grant in pool.assign(at) {
+            pool.first_token(at, grant.attempt);
+            pool.end(at, grant.attempt);
+        }
+    });
+    let role = if waiting == 100 {
+        "pool, by engines"
+    } else {
+        "pool, by waiting"
+    };
+    let size = if waiting == 100 { engines } else { waiting };
+    vec![
+        Line {
+            role,
+            size,
+            unit: "us for one request",
+            value: took,
+        },
+        Line {
+            role,
+            size,
+            unit: "bytes kept",
+            value: kept,
+        },
+    ]
+}
+
+fn plan_json(number: u64) -> serde_json::Value {
+    json!({
+        "workspace": format!("workspace-{number}"),
+        "key_hashes": [format!("{number:064x}")],
+        "models": ["model-1", "model-2"],
+        "services": ["trail-desk"],
+    })
+}
+
+fn change(id: &str, base: u64, edit: &serde_json::Value) -> Option<String> {
+    let change: Change =
+        serde_json::from_value(json!({ "id": id, "base": base, "edit": edit })).ok()?;
+    Some(change_record(&change))
+}
+
+/// The lists with `workspaces` workspaces: time of one change and memory.
+#[allow(clippy::cast_precision_loss)]
+fn lists(workspaces: u64) -> Vec<Line> {
+    let all: Vec<_> = (0..workspaces).map(plan_json).collect();
+    let mut fold = Fold::new(b"key");
+    let first = change(
+        "first",
+        0,
+        &json!({ "replace_plans": { "workspaces": all } }),
+    )
+    .unwrap_or_default();
+    let (kept, ()) = memory(|| {
+        fold.apply(0, &first);
+    });
+    let changes = 50;
+    let records: Vec<_> = (0..changes)
+        .filter_map(|number| {
+            let edit = json!({ "put_plans": { "workspaces": [plan_json(number % workspaces)] } });
+            change(&format!("c{number}"), number + 1, &edit)
+        })
+        .collect();
+    let bytes = records.iter().map(String::len).sum::<usize>() as f64 / changes as f64;
+    let took = micros(changes, |number| {
+        let record = &records[usize::try_from(number).unwrap_or(0)];
+        fold.apply(number + 1, record);
+        black_box(kernel::lists::Table::new(
+            &fold.state().plans,
+            &fold.state().usage,
+        ));
+    });
+    let line = |unit, value| Line {
+        role: "lists, by workspaces",
+        size: workspaces,
+        unit,
+        value,
+    };
+    vec![
+        line("us for one change", took),
+        line("bytes of a change", bytes),
+        line("bytes kept", kept),
+    ]
+}
+
+/// `keys` remembered keys: time of one claim with its outcome, and memory.
+#[allow(clippy::cast_precision_loss)]
+fn claims(keys: u64) -> Vec<Line> {
+    let now = Instant::from_millis(1_000);
+    let mut book = Book::new(Duration::from_hours(1));
+    let mut took = 0.0;
+    let mut bytes = 0;
+    let (kept, ()) = memory(|| {
+        took = micros(keys, |number| {
+            let records = claim_records(number);
+            bytes += records.len();
+            book.apply(now, number, 0, &records);
+        });
+    });
+    let line = |unit, value| Line {
+        role: "claims, by keys",
+        size: keys,
+        unit,
+        value,
+    };
+    vec![
+        line("us for a claim and its outcome", took),
+        line("bytes on the log", bytes as f64 / keys as f64),
+        line("bytes kept for a key", kept / keys as f64),
+    ]
+}
+
+fn claim_records(number: u64) -> String {
+    let attempt = Attempt {
+        request: Id {
+            incarnation: Incarnation(1),
+            sequence: number,
+        },
+        number: 1,
+    };
+    let key = format!("workspace-1/trail-desk/book/{number:032x}");
+    let claim = Record::Claim(Claim {
+        key: key.clone(),
+        body: format!("{number:064x}"),
+        attempt,
+        time_limit_ms: 60_000,
+    });
+    let answer = Answer {
+        status: 200,
+        body: "{\"booked\": true, \"slot\": 12}".to_owned(),
+    };
+    let outcome = Record::Outcome {
+        key,
+        attempt,
+        answer,
+    };
+    serde_json::to_string(&[claim, outcome]).unwrap_or_default()
+}
+
+/// Plan limits of `workspaces` workspaces.
+#[allow(clippy::cast_precision_loss)]
+fn limits(workspaces: u64) -> Vec<Line> {
+    let plans: BTreeMap<_, _> = (0..workspaces)
+        .filter_map(|number| {
+            let plan: Plan = serde_json::from_value(plan_json(number)).ok()?;
+            Some((Workspace::from(plan.workspace.as_str()), plan))
+        })
+        .collect();
+    let now = Instant::from_millis(1_000);
+    let mut took = 0.0;
+    let (kept, meter) = memory(|| {
+        let mut meter = Meter::new(Part {
+            index: 0,
+            nodes: 410,
+        });
+        let names: Vec<_> = plans.iter().collect();
+        took = micros(100_000, |index| {
+            let (workspace, plan) = names[usize::try_from(index).unwrap_or(0) % names.len()];
+            let _ = black_box(meter.take(now, workspace, plan, Need { tokens: 100 }));
+            meter.release(workspace);
+        });
+        meter
+    });
+    black_box(meter.part());
+    let line = |unit, value| Line {
+        role: "limits, by workspaces",
+        size: workspaces,
+        unit,
+        value,
+    };
+    vec![
+        line("us to take and release", took),
+        line("bytes kept", kept),
+    ]
+}
+
+/// A full journal.
+fn journal() -> Vec<Line> {
+    let now = Instant::from_millis(1_000);
+    let mut took = 0.0;
+    let (kept, journal) = memory(|| {
+        let mut journal = Journal::default();
+        took = micros(30_000, |index| {
+            let id = Id {
+                incarnation: Incarnation(1),
+                sequence: index / 5,
+            };
+            journal.record(
+                now,
+                id,
+                "granted",
+                "number=1 endpoint=engine-0001 waited_ms=0 predicted_ms=26 priority=1796345590907"
+                    .to_owned(),
+            );
+        });
+        journal
+    });
+    black_box(
+        journal
+            .entries(Id {
+                incarnation: Incarnation(1),
+                sequence: 1,
+            })
+            .len(),
+    );
+    let line = |unit, value| Line {
+        role: "journal, full",
+        size: 4_096,
+        unit,
+        value,
+    };
+    vec![line("us for a decision", took), line("bytes kept", kept)]
+}
+
+/// The size of an engine's report.
+#[allow(clippy::cast_precision_loss)]
+fn report_bytes() -> Line {
+    const HTTP_HEADERS: usize = 250;
+    let report = serde_json::to_vec(&report(1)).unwrap_or_default();
+    Line {
+        role: "watch, one engine",
+        size: 1,
+        unit: "bytes of one look",
+        value: (report.len() + HTTP_HEADERS) as f64,
+    }
+}
--- /dev/null
+++ b/bin/filbertctl/src/cmd/stand_ins.rs
@@ -0,0 +1,69 @@
+//! `filbertctl stand-ins`: stand-ins for a node that runs as a process of its own.
+
+use std::process::ExitCode;
+
+use super::arguments::{Arguments, Error};
+use super::runtime;
+use crate::fleet::{self, Fleet, MODEL, OPERATOR_KEY, Plan};
+
+pub const HELP: &str = "\
+Runs stand-ins for engines, a service and the platform on loopback, publishes their lists, and
+writes settings for a node, which is then started by hand:
+
+  filbertctl stand-ins --settings node.json &
+  filbertstage --settings node.json
+
+Usage: filbertctl stand-ins --settings FILE [OPTIONS]
+
+Options:
+      --settings FILE  Write the node's settings here
+      --engines N      Number of engines [default: 1]
+      --scale N        Engines run this many times faster than real ones [default: 1]
+      --streams N      Most streams at once on each engine [default: 6000]
+      --port PORT      The node's port for callers; the next one is for nodes [default: 8080]
+      --json           Print JSON
+      --log LEVEL      Show logs of this level
+
+Runs until Ctrl-C. Exit codes: 0 ended, 2 usage, 3 not started
+";
+pub const FLAGS: &[&str] = &["settings=", "engines=", "scale=", "streams=", "port="];
+
+/// KV memory of each engine, in tokens; enough for many open streams.
+const KV_TOTAL: u64 = 8_000_000;
+
+pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    let file: String = arguments.required("settings")?;
+    let engines = arguments.value("engines")?.unwrap_or(1);
+    let scale = arguments.value("scale")?.unwrap_or(1);
+    let port: u16 = arguments.value("port")?.unwrap_or(8_080);
+    let mut plan = Plan::new(&[("charnwood", 0, engines, 1)], scale);
+    plan.kv_total = KV_TOTAL;
+    plan.most_running = arguments.value("streams")?.unwrap_or(6_000);
+    runtime()?.block_on(serve(plan, &file, port, arguments.flag("json")))
+}
+
+async fn serve(plan: Plan, file: &str, port: u16, json: bool) -> Result<ExitCode, Error> {
+    let unusable =
+        |error: std::io::Error| Error::Unusable(format!("the stand-ins did not start: {error}"));
+    let fleet = Fleet::start(plan).await.map_err(unusable)?;
+    let mut settings = fleet.node_settings("entry-1", "charnwood");
+    settings.listen.callers.set_port(port);
+    settings.listen.nodes.set_port(port + 1);
+    let text = serde_json::to_string_pretty(&settings).unwrap_or_default();
+    std::fs::write(file, text).map_err(|error| Error::Unusable(format!("{file}: {error}")))?;
+    let engine = fleet.engines[0].server.address;
+    if json {
+        println!(
+            "{}",
+            serde_json::json!({ "engine": engine, "key": fleet::key(0), "operator_key": OPERATOR_KEY })
+        );
+    } else {
+        println!(
+            "engine {engine}, model {MODEL}, key {}, operator's key {OPERATOR_KEY}",
+            fleet::key(0)
+        );
+    }
+    // Whether the signal could be waited for does not matter at the end.
+    let _ = tokio::signal::ctrl_c().await;
+    Ok(ExitCode::SUCCESS)
+}
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -56,6 +56,8 @@
     pub threads: usize,
     /// KV memory of each engine, in tokens.
     pub kv_total: u64,
+    /// Most streams at once on each engine.
+    pub most_running: usize,
     /// How long an idempotency key is remembered.
     pub claim_window: Duration,
 }
@@ -79,6 +81,7 @@
             seed: 1,
             threads: 2,
             kv_total: 400_000,
+            most_running: 64,
             claim_window: Duration::from_hours(1),
         }
     }
@@ -89,6 +92,7 @@
         let mut setting = Setting::scaled(name, MODEL, self.scale);
         setting.kv_total = self.kv_total;
         setting.cache_tokens = self.kv_total / 2;
+        setting.most_running = self.most_running;
         setting
     }
 }
@@ -179,7 +183,9 @@
         Ok(())
     }
 
-    fn node_settings(&self, host: &str, domain: &str) -> Settings {
+    /// Settings of a node on `host`, with free ports.
+    #[must_use]
+    pub fn node_settings(&self, host: &str, domain: &str) -> Settings {
         let mut settings = Settings {
             host: host.to_owned(),
             domain: domain.to_owned(),
@@ -258,7 +264,7 @@
     pub async fn wait_ready(&self) -> io::Result<()> {
         const LONGEST: Duration = Duration::from_secs(10);
         const SETTLE: Duration = Duration::from_millis(500);
-        let others = self.members().count() - 1;
+        let others = self.members().count().saturating_sub(1);
         let settled = |member: &Member| member.ready() && member.peers() >= others;
         let ready = async {
             while !self.members().all(settled) {
--- a/crates/kernel/src/membership.rs
+++ b/crates/kernel/src/membership.rs
@@ -1,8 +1,8 @@
 //! Which nodes are alive, learned from heartbeats that pass on what the sender has heard.
 //!
-//! Each heartbeat carries the sender's own counter and the counters of the members that it heard
-//! from last. A node whose counter has not grown for [`DEAD_AFTER`] counts as dead. Membership
-//! only steers; no promise rests on it.
+//! Each heartbeat carries the sender's own entry and the counters of the members that it heard
+//! from last, a few bytes for each. A node whose counter has not grown for [`DEAD_AFTER`] counts as
+//! dead. Membership only steers; no promise rests on it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,9 +26,11 @@
 /// Nodes of each failure domain that speak with other domains.
 const DELEGATES: usize = 2;
 /// Counters carried by one heartbeat.
-const CARRIED: usize = 64;
+const CARRIED: usize = 128;
+/// Entries of other members that one heartbeat introduces in full.
+const INTRODUCED: usize = 2;
 
-/// One member's counter, as carried by heartbeats.
+/// One member, as heartbeats introduce it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The member's host.
@@ -45,6 +47,29 @@
     pub leaving: bool,
 }
 
+/// The counter of a member that the receiver has been introduced to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The low bits of the member's incarnation.
+    pub name: u32,
+    /// The member's counter.
+    pub counter: u64,
+}
+
+/// What a heartbeat says about members.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The sender's own entry first, then some that it introduces.
+    pub entries: Vec<Entry>,
+    /// Counters of the members that the sender heard from last.
+    pub beats: Vec<Beat>,
+}
+
+#[allow(clippy::cast_possible_truncation)]
+const fn short(incarnation: Incarnation) -> u32 {
+    incarnation.0 as u32
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     entry: Entry,
@@ -98,10 +123,10 @@
     }
 
     /// Counts a heartbeat and returns what it carries and whom it goes to.
-    pub fn beat(&mut self, now: Instant, random: &mut SmallRng) -> (Vec<Entry>, Vec<Entry>) {
+    pub fn beat(&mut self, now: Instant, random: &mut SmallRng) -> (News, Vec<Entry>) {
         self.own.counter += 1;
         self.expire(now);
-        (self.carried(now), self.targets(now, random))
+        (self.news(now, random), self.targets(now, random))
     }
 
     fn expire(&mut self, now: Instant) {
@@ -117,14 +142,35 @@
             .retain(|_, since| *since + FORGET_AFTER > now);
     }
 
-    fn carried(&self, now: Instant) -> Vec<Entry> {
+    fn news(&self, now: Instant, random: &mut SmallRng) -> News {
         let mut members: Vec<_> = self.alive(now).collect();
+        let introduced = members.choose_multiple(random, INTRODUCED);
+        let introduced = introduced.map(|member| member.entry.clone());
+        let entries = std::iter::once(self.own.clone())
+            .chain(introduced)
+            .collect();
         members.sort_by_key(|member| std::cmp::Reverse(member.heard));
-        let others = members
-            .into_iter()
-            .take(CARRIED)
-            .map(|member| member.entry.clone());
-        std::iter::once(self.own.clone()).chain(others).collect()
+        let beat = |member: &&Member| Beat {
+            name: short(member.entry.incarnation),
+            counter: member.entry.counter,
+        };
+        let beats = members.iter().take(CARRIED).map(beat).collect();
+        News { entries, beats }
+    }
+
+    /// Takes the counters of members that are known.
+    fn count(&mut self, now: Instant, beats: &[Beat]) {
+        let beats: BTreeMap<_, _> = beats.iter().map(|beat| (beat.name, beat.counter)).collect();
+        for member in self.members.values_mut() {
+            let counter = beats.get(&short(member.entry.incarnation));
+            if let Some(counter) = counter
+                && *counter > member.entry.counter
+            {
+                member.entry.counter = *counter;
+                member.heard = now;
+                member.died = None;
+            }
+        }
     }
 
     fn targets(&self, now: Instant, random: &mut SmallRng) -> Vec<Entry> {
@@ -177,15 +223,16 @@
             .filter(move |member| member.heard + DEAD_AFTER > now)
     }
 
-    /// Takes the entries of a heartbeat; returns the hosts that came up or returned.
-    pub fn hear(&mut self, now: Instant, entries: &[Entry]) -> Vec<Host> {
-        let mut news = Vec::new();
-        for entry in entries {
+    /// Takes what a heartbeat says; returns the hosts that came up or returned.
+    pub fn hear(&mut self, now: Instant, news: &News) -> Vec<Host> {
+        self.count(now, &news.beats);
+        let mut risen = Vec::new();
+        for entry in &news.entries {
             if entry.host != self.own.host && self.merge(now, entry) {
-                news.push(entry.host.clone());
+                risen.push(entry.host.clone());
             }
         }
-        news
+        risen
     }
 
     fn merge(&mut self, now: Instant, entry: &Entry) -> bool {
--- a/crates/kernel/src/routing.rs
+++ b/crates/kernel/src/routing.rs
@@ -22,6 +22,8 @@
     pub endpoint: Endpoint,
     /// Predicted time to the first token.
     pub predicted: Duration,
+    /// Time by which the request would delay the first tokens of others, added up.
+    pub delays: Duration,
     /// Prompt tokens that the engine still has to prefill.
     pub backlog_tokens: u64,
     /// Requests on the engine.
@@ -67,7 +69,11 @@
     names
 }
 
-/// Holds requests at the node and takes the engine with the earliest predicted first token.
+/// Part of the delay of others that counts like an own wait.
+const DELAY_WEIGHT: f64 = 0.5;
+
+/// Holds requests at the node and takes the engine with the earliest predicted first token, the
+/// delay of others included.
 struct FirstToken;
 
 impl Policy for FirstToken {
@@ -76,7 +82,9 @@
     }
 
     fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
-        index_of_least(candidates, |candidate| candidate.predicted)
+        index_of_least(candidates, |candidate| {
+            candidate.predicted + candidate.delays.mul_f64(DELAY_WEIGHT)
+        })
     }
 }
 
--- a/crates/kernel/src/schedule/engine.rs
+++ b/crates/kernel/src/schedule/engine.rs
@@ -164,6 +164,14 @@
         self.prefill_time(tokens)
     }
 
+    /// Requests in prefill on the engine whose virtual deadline is after `rank`.
+    #[must_use]
+    pub fn prefilling_behind(&self, rank: Instant) -> u32 {
+        let behind = |flight: &&Flight| flight.rank > rank && flight.prefill_left > UNSEEN_TOKENS;
+        let count = self.flights.values().filter(behind).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Prompt tokens that the engine still has to prefill.
     #[must_use]
     pub fn backlog_tokens(&self) -> f64 {
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -13,7 +13,7 @@
 use super::engine::{Engine, Report};
 use super::gang::{self, Earmark};
 use super::job::{Grant, Job, Waiting};
-use super::rank::{Clock, Setting};
+use super::rank::{Clock, Setting, WHOLE_STEP};
 
 /// Most jobs that wait in one pool.
 const MOST_WAITING: usize = 10_000;
@@ -36,6 +36,8 @@
     pub long_wait: Duration,
     /// Engines that take work.
     pub engines: u32,
+    /// Engines that take work and have none.
+    pub idle: u32,
     /// Requests that wait.
     pub waiting: u32,
 }
@@ -344,11 +346,12 @@
             .filter(|(_, engine)| eager || self.has_room(engine, waiting))
             .map(|(index, engine)| {
                 let own = engine.prefill_time(engine.uncached(now, &waiting.job) as f64);
-                let blocking = engine.prefill_time(self.blocking_tokens(engine, waiting));
+                let blocking = engine.prefill_time(self.blocking_tokens(engine));
                 let candidate = Candidate {
                     endpoint: engine.report().endpoint.clone(),
                     predicted: (engine.ahead(waiting.rank) + own + blocking)
                         .mul_f64(self.correction),
+                    delays: own * engine.prefilling_behind(waiting.rank),
                     backlog_tokens: engine.backlog_tokens() as u64,
                     running: engine.running(),
                 };
@@ -359,14 +362,10 @@
 
     /// Tokens of a running step of a longer prompt that the job would wait for.
     #[allow(clippy::cast_precision_loss)]
-    fn blocking_tokens(&self, engine: &Engine, waiting: &Waiting) -> f64 {
+    fn blocking_tokens(&self, engine: &Engine) -> f64 {
         const HALF: f64 = 0.5;
-        let behind = engine.backlog_tokens();
-        let step = self
-            .setting
-            .chunk(u64::MAX)
-            .max(waiting.job.prompt_tokens.min(1)) as f64;
-        behind.min(step) * HALF
+        let step = self.setting.chunk(u64::MAX) as f64;
+        engine.backlog_tokens().min(step) * HALF
     }
 
     fn has_room(&self, engine: &Engine, waiting: &Waiting) -> bool {
@@ -419,7 +418,7 @@
     /// Prompt tokens in one step; an eager policy leaves steps to the engines.
     fn chunk(&self, waiting: &Waiting) -> u64 {
         if self.policy.eager() {
-            return self.setting.chunk_even;
+            return WHOLE_STEP;
         }
         self.setting.chunk(waiting.job.prompt_tokens)
     }
@@ -461,7 +460,9 @@
         Digest {
             short_wait: self.wait_before(now),
             long_wait: self.wait_before(now + Duration::from_hours(1)),
-            engines: u32::try_from(usable.count()).unwrap_or(u32::MAX),
+            engines: u32::try_from(usable.clone().count()).unwrap_or(u32::MAX),
+            idle: u32::try_from(usable.filter(|engine| engine.running() == 0).count())
+                .unwrap_or(u32::MAX),
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
         }
     }
--- a/crates/kernel/src/schedule/rank.rs
+++ b/crates/kernel/src/schedule/rank.rs
@@ -17,6 +17,8 @@
 const STRETCH_SHORT_FIRST: f64 = 8.5;
 /// Furthest that a workspace's virtual clock may run ahead.
 const LEAD_LONGEST: Duration = Duration::from_secs(30);
+/// Leaves the size of steps to the engine.
+pub(super) const WHOLE_STEP: u64 = 1 << 20;
 /// Virtual clocks kept before idle ones are dropped.
 const CLOCKS: usize = 1_024;
 
@@ -41,7 +43,7 @@
             policy: crate::routing::DEFAULT.to_owned(),
             short_weight: 0.5,
             window: Duration::from_millis(20),
-            chunk_even: 512,
+            chunk_even: 256,
             chunk_short_first: 128,
         }
     }
@@ -64,7 +66,7 @@
     pub fn chunk(&self, tokens: u64) -> u64 {
         const LONG: u64 = 8_000;
         if tokens <= LONG {
-            return self.chunk_even;
+            return WHOLE_STEP;
         }
         let even = self.chunk_even as f64;
         let short_first = self.chunk_short_first as f64;
--- a/crates/kernel/tests/membership.rs
+++ b/crates/kernel/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertstage_kernel::membership::{Entry, INTERVAL, Standing, Table};
+use filbertstage_kernel::membership::{Entry, INTERVAL, News, Standing, Table};
 use filbertstage_kernel::prelude::*;
 use filbertstage_kernel::request::Incarnation;
 use rand::rngs::SmallRng;
@@ -20,6 +20,14 @@
     }
 }
 
+/// News that introduces `entries`.
+fn introduce(entries: &[Entry]) -> News {
+    News {
+        entries: entries.to_vec(),
+        beats: Vec::new(),
+    }
+}
+
 /// Nodes that send each other heartbeats, some of which are lost.
 struct Network {
     nodes: Vec<Table>,
@@ -38,7 +46,7 @@
             .map(|number| entry(number, number as u64 + 1))
             .collect();
         for node in &mut nodes {
-            node.hear(Instant::from_millis(1), &all);
+            node.hear(Instant::from_millis(1), &introduce(&all));
         }
         Self {
             nodes,
@@ -55,13 +63,13 @@
             if self.paused_until[index] > self.now {
                 continue;
             }
-            let (entries, targets) = self.nodes[index].beat(self.now, &mut self.random);
+            let (news, targets) = self.nodes[index].beat(self.now, &mut self.random);
             for target in targets {
                 let place = target.host.as_str()[1..]
                     .parse::<usize>()
                     .expect("a number");
                 if !self.random.random_bool(self.loss) && self.paused_until[place] <= self.now {
-                    self.nodes[place].hear(self.now, &entries);
+                    self.nodes[place].hear(self.now, &news);
                 }
             }
         }
@@ -124,10 +132,10 @@
     let mut table = Table::new(entry(0, 1));
     let mut old = entry(1, 10);
     old.counter = 500;
-    table.hear(now, &[old.clone()]);
-    table.hear(now, &[entry(1, 11)]);
+    table.hear(now, &introduce(&[old.clone()]));
+    table.hear(now, &introduce(&[entry(1, 11)]));
     old.counter = 501;
-    table.hear(now, &[old]);
+    table.hear(now, &introduce(&[old]));
     let seen: Vec<_> = table
         .live(now)
         .iter()
@@ -159,7 +167,7 @@
         table.standing(later, Incarnation(9)),
         Standing::Stranger(Duration::from_secs(4))
     );
-    table.hear(later, &[entry(2, 9)]);
+    table.hear(later, &introduce(&[entry(2, 9)]));
     assert_eq!(table.standing(later, Incarnation(9)), Standing::Live);
 }
 
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -14,6 +14,8 @@
 use crate::peer;
 use crate::shared::Shared;
 
+/// Every so many heartbeats, one carries the digests of pools.
+const POOLS_EVERY: u64 = 2;
 /// Digests carried by one heartbeat.
 const POOLS: usize = 32;
 /// Time between two reads of the host list.
@@ -35,13 +37,18 @@
 
 fn beat(shared: &Shared) -> (Vec<u8>, Vec<SocketAddr>) {
     let now = shared.now();
-    let (entries, members) =
+    let (news, members) =
         shared.with_random(|random| shared.tables.members.lock().beat(now, random));
     refresh_part(shared, now);
-    let pools = digests(shared, now, entries.first().map_or(0, |own| own.counter));
+    let counter = news.entries.first().map_or(0, |own| own.counter);
+    let pools = digests(shared, now, counter);
+    let pools = if counter.is_multiple_of(POOLS_EVERY) {
+        pools
+    } else {
+        Vec::new()
+    };
     let key = shared.settings.fleet_key.as_bytes();
-    let heartbeat = Heartbeat { entries, pools };
-    let datagram = datagram::encode(key, &heartbeat).unwrap_or_else(|error| {
+    let datagram = datagram::encode(key, &Heartbeat { news, pools }).unwrap_or_else(|error| {
         log::warn!("event=heartbeat_not_sent error={error}");
         Vec::new()
     });
@@ -128,7 +135,7 @@
 
 fn hear(shared: &Shared, heartbeat: Heartbeat) {
     let now = shared.now();
-    let news = shared.tables.members.lock().hear(now, &heartbeat.entries);
+    let news = shared.tables.members.lock().hear(now, &heartbeat.news);
     for host in news {
         log::info!("event=node_up host={host}");
     }
--- /dev/null
+++ b/crates/node/src/serve/forward.rs
@@ -0,0 +1,191 @@
+//! Sends requests to other failure domains, and runs those that they send.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use endpoint::Usage;
+use kernel::attempt::{self, Fault};
+use kernel::cost;
+use kernel::outcome::Refusal;
+use kernel::prelude::*;
+use kernel::schedule::Digest;
+use tokio::sync::mpsc;
+use wire::stream::Connection;
+use wire::{Error, Forward, Frame, Refused};
+
+use super::stream::deliver;
+use super::{Ended, Item, Work, start};
+use crate::peer;
+use crate::shared::{Running, Shared};
+
+/// Prompts up to this length count as short when pools are compared, in tokens.
+const SHORT_TOKENS: u64 = 8_000;
+/// Prompts longer than this are few enough to move without care for crowding, in tokens.
+const FEW_TOKENS: u64 = 32_000;
+/// Time between two signs of life on a forwarded request.
+const KEEPALIVE: Duration = Duration::from_millis(500);
+
+/// The wait that a pool's digest predicts for the request.
+fn wait(digest: &Digest, work: &Work) -> Duration {
+    if work.prompt_tokens <= SHORT_TOKENS {
+        digest.short_wait
+    } else {
+        digest.long_wait
+    }
+}
+
+/// What the pools of other failure domains predict for the request, the best first.
+fn elsewhere(shared: &Shared, work: &Work) -> Option<(Domain, Digest)> {
+    let digests = shared.tables.digests.lock();
+    digests
+        .values()
+        .filter(|entry| entry.model == work.model && entry.domain != shared.domain)
+        .filter(|entry| !work.avoid_domains.contains(&entry.domain))
+        .filter(|entry| entry.digest.engines > 0)
+        .map(|entry| (entry.domain.clone(), entry.digest))
+        .min_by_key(|(_, digest)| (wait(digest, work), std::cmp::Reverse(digest.idle)))
+}
+
+/// Another failure domain that is predicted to be faster, by more than the spill gain or because a
+/// long prompt would find an idle engine only there.
+pub(super) fn better_domain(shared: &Shared, work: &Work) -> Option<Domain> {
+    let gain = Duration::from_millis(shared.settings.routing.spill_gain_ms);
+    let (domain, there) = elsewhere(shared, work)?;
+    let here = {
+        let digests = shared.tables.digests.lock();
+        let own = digests.get(&(shared.domain.clone(), work.model.clone()));
+        own.map(|entry| entry.digest)
+            .filter(|digest| digest.engines > 0)
+    }?;
+    // Of the many requests only every second one moves, so that nodes do not all fill one domain.
+    let moves = work.id.sequence.is_multiple_of(2) || work.prompt_tokens > FEW_TOKENS;
+    let waits = wait(&here, work) > wait(&there, work).saturating_mul(2) + gain;
+    let long = work.prompt_tokens > SHORT_TOKENS;
+    let idle_only_there = long && here.idle == 0 && there.idle > 1;
+    (moves && (waits || idle_only_there)).then_some(domain)
+}
+
+/// A failure domain that has engines for the request, when this one refused it.
+pub(super) fn other_domain(shared: &Shared, work: &Work) -> Option<Domain> {
+    elsewhere(shared, work).map(|(domain, _)| domain)
+}
+
+/// Lets another failure domain run the request and passes on what it delivers.
+pub(super) async fn forward(
+    shared: &Arc<Shared>,
+    work: &mut Work,
+    domain: &Domain,
+    sink: &mpsc::Sender<Item>,
+) -> Result<Usage, Ended> {
+    let span = shared.tracing.child("forward", &work.span);
+    let now = shared.now();
+    let target = {
+        let members = shared.tables.members.lock();
+        let nodes = members.live_in(now, domain);
+        let nodes: Vec<_> = nodes.into_iter().filter(|node| !node.leaving).collect();
+        let place = usize::try_from(work.id.sequence).unwrap_or(0);
+        nodes
+            .get(place % nodes.len().max(1))
+            .and_then(|node| peer::address(node))
+    };
+    let lost = || Ended::Fault(Fault::Unreachable, None);
+    let mut connection = shared
+        .peers
+        .connect(target.ok_or_else(lost)?)
+        .await
+        .map_err(|_| lost())?;
+    let forward = Forward {
+        request: work.id,
+        workspace: work.workspace.clone(),
+        model: work.model.clone(),
+        adapter: work.adapter.clone(),
+        prompt: work.prompt.clone(),
+        delivered: work.delivered,
+        answer_tokens: work.answer_tokens,
+        remaining: work.deadline.since(now),
+        trace: span.header(),
+    };
+    shared.note(work.id, "forwarded", format!("domain={domain}"));
+    let sent = connection.send(&Frame::Forward(Box::new(forward))).await;
+    sent.map_err(|_| lost())?;
+    loop {
+        let limit = attempt::silence_bound(work.deadline.since(shared.now()));
+        match connection.receive(limit).await {
+            Ok(Frame::Waiting) => {}
+            Ok(Frame::Token(index, text)) => deliver(shared, work, index, text, sink).await?,
+            Ok(Frame::End(prompt_tokens, answer_tokens, cached_tokens)) => {
+                if answer_tokens != work.delivered {
+                    return Err(Ended::Fault(Fault::Truncated, None));
+                }
+                return Ok(Usage {
+                    prompt_tokens,
+                    answer_tokens,
+                    cached_tokens,
+                });
+            }
+            Ok(Frame::Refused(refused)) => return Err(Ended::Refused(refused.refusal)),
+            Ok(_) => return Err(Ended::Fault(Fault::Truncated, None)),
+            Err(Error::Silent) => return Err(Ended::Fault(Fault::Silent, None)),
+            Err(_) => return Err(Ended::Fault(Fault::Broken, None)),
+        }
+    }
+}
+
+/// Runs a request that another failure domain forwarded, until it ends.
+pub(crate) async fn serve_forward(
+    shared: &Arc<Shared>,
+    connection: &mut Connection,
+    forward: Forward,
+) -> Result<(), Error> {
+    let place = Running::enter(shared).filter(|_| shared.ready());
+    let Some(place) = place else {
+        const RETRY_AFTER: Duration = Duration::from_secs(1);
+        let refusal = Refusal::Unavailable("the node takes no work".to_owned(), RETRY_AFTER);
+        return connection.send(&Frame::Refused(Refused { refusal })).await;
+    };
+    let mut items = start(shared, forwarded_work(shared, forward), place);
+    loop {
+        let frame = tokio::select! {
+            item = items.recv() => match item {
+                Some(Item::Token(index, text)) => Frame::Token(index, text),
+                Some(Item::End(usage)) => {
+                    let end = Frame::End(usage.prompt_tokens, usage.answer_tokens, usage.cached_tokens);
+                    return connection.send(&end).await;
+                }
+                Some(Item::Refused(refusal)) => {
+                    return connection.send(&Frame::Refused(Refused { refusal })).await;
+                }
+                None => return Err(Error::Closed),
+            },
+            // The other side sends nothing more, so whatever arrives ends the request.
+            frame = connection.receive(KEEPALIVE) => match frame {
+                Err(Error::Silent) => Frame::Waiting,
+                Ok(_) | Err(_) => return Err(Error::Closed),
+            },
+        };
+        connection.send(&frame).await?;
+    }
+}
+
+fn forwarded_work(shared: &Shared, forward: Forward) -> Work {
+    let now = shared.now();
+    Work {
+        id: forward.request,
+        run: shared.next_id(),
+        workspace: forward.workspace,
+        model: forward.model,
+        adapter: forward.adapter,
+        prefix: cost::prefix(&forward.prompt),
+        prompt_tokens: cost::tokens(forward.prompt.len()),
+        prompt: forward.prompt,
+        answer_tokens: forward.answer_tokens,
+        delivered: forward.delivered,
+        arrived: now,
+        deadline: now + forward.remaining,
+        deferred: false,
+        forwarded: true,
+        avoid_domains: Vec::new(),
+        sent: false,
+        span: shared.tracing.root("forwarded", &forward.trace),
+    }
+}
--- /dev/null
+++ b/crates/node/src/serve/mod.rs
@@ -0,0 +1,216 @@
+//! Runs one idempotent request until its answer is whole, refused, or out of time.
+
+mod attempt;
+mod forward;
+mod stream;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use endpoint::Usage;
+use kernel::attempt::{Fault, Plan, Step};
+use kernel::outcome::{Outcome, Refusal};
+use kernel::prelude::*;
+use kernel::request::{Attempt, Id};
+use kernel::schedule::Job;
+use tokio::sync::mpsc;
+
+use crate::shared::Shared;
+use crate::trace::Span;
+use crate::{invariant, telemetry};
+
+pub(crate) use forward::serve_forward;
+
+/// Items that may wait for a slow caller.
+const SINK_ITEMS: usize = 256;
+/// The node ends a request this long before the caller's time limit.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
+
+/// What a request delivers to whoever asked for it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Item {
+    /// A token of the answer.
+    Token(u64, String),
+    /// The answer is whole.
+    End(Usage),
+    /// There is no (further) answer.
+    Refused(Refusal),
+}
+
+/// An admitted idempotent request.
+pub(crate) struct Work {
+    /// The request, for the journal.
+    pub id: Id,
+    /// Names the attempts; differs from `id` for a forwarded request, which may come twice.
+    pub run: Id,
+    pub workspace: Workspace,
+    pub model: Model,
+    pub adapter: Option<String>,
+    pub prompt: String,
+    pub prefix: Vec<u64>,
+    pub prompt_tokens: u64,
+    pub answer_tokens: u64,
+    /// Answer tokens that the caller already has.
+    pub delivered: u64,
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub deferred: bool,
+    /// Whether another failure domain sent the request here.
+    pub forwarded: bool,
+    /// Failure domains that the request could not be forwarded to.
+    pub avoid_domains: Vec<Domain>,
+    /// Whether a byte of the request may have left for an endpoint.
+    pub sent: bool,
+    pub span: Span,
+}
+
+impl Work {
+    fn job(&self, now: Instant, number: u32, avoid: &[Endpoint]) -> Job {
+        Job {
+            attempt: Attempt {
+                request: self.run,
+                number,
+            },
+            workspace: self.workspace.clone(),
+            model: self.model.clone(),
+            prompt_tokens: self.prompt_tokens + self.delivered,
+            answer_tokens: self.answer_tokens.saturating_sub(self.delivered),
+            prefix: self.prefix.clone(),
+            remaining: self.deadline.since(now),
+            waited: now.since(self.arrived),
+            deferred: self.deferred,
+            avoid: avoid.to_vec(),
+        }
+    }
+}
+
+/// Why an attempt brought no whole answer.
+enum Ended {
+    Refused(Refusal),
+    Fault(Fault, Option<Endpoint>),
+    CallerGone,
+}
+
+impl From<endpoint::Error> for Ended {
+    fn from(error: endpoint::Error) -> Self {
+        match error {
+            endpoint::Error::Failed(fault, _) => Self::Fault(fault, None),
+            endpoint::Error::Refused(reason) => {
+                let remedy = "correct the request".to_owned();
+                Self::Refused(Refusal::Invalid(reason, remedy))
+            }
+        }
+    }
+}
+
+/// Starts a request; its items arrive on the returned channel, which cancels it when closed.
+///
+/// `place` is what the request occupies; it is dropped when the request has ended.
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    work: Work,
+    place: impl Send + 'static,
+) -> mpsc::Receiver<Item> {
+    let (sink, items) = mpsc::channel(SINK_ITEMS);
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        run(&shared, work, sink).await;
+        drop(place);
+    });
+    items
+}
+
+async fn run(shared: &Arc<Shared>, mut work: Work, sink: mpsc::Sender<Item>) {
+    let limit = work
+        .deadline
+        .since(shared.now())
+        .saturating_sub(DEADLINE_MARGIN);
+    let id = work.id;
+    let ended = tokio::select! {
+        ended = tokio::time::timeout(limit, drive(shared, &mut work, &sink)) => ended,
+        () = sink.closed() => Ok(Err(Ended::CallerGone)),
+    };
+    let last = match ended {
+        Ok(Ok(usage)) => Item::End(usage),
+        Ok(Err(Ended::CallerGone)) => {
+            shared.note(id, "caller_gone", format!("delivered={}", work.delivered));
+            telemetry::ended("caller_gone");
+            return;
+        }
+        Ok(Err(Ended::Refused(refusal))) => Item::Refused(truthful(refusal, work.sent)),
+        Ok(Err(Ended::Fault(fault, _))) => {
+            Item::Refused(Refusal::Exhausted(1, fault.as_str().to_owned()))
+        }
+        Err(_) => Item::Refused(Refusal::TimedOut(Outcome::Failed)),
+    };
+    finish(shared, &work, &last);
+    // A caller that is gone needs no last item.
+    let _ = sink.send(last).await;
+}
+
+/// A refusal that says `not_run` only when nothing was sent.
+fn truthful(refusal: Refusal, sent: bool) -> Refusal {
+    if sent && refusal.outcome() == Outcome::NotRun {
+        return Refusal::Exhausted(1, refusal.code().to_owned());
+    }
+    refusal
+}
+
+fn finish(shared: &Shared, work: &Work, last: &Item) {
+    let now = shared.now();
+    invariant::check(now <= work.deadline, || {
+        format!(
+            "request {} ended {:?} after its deadline",
+            work.id,
+            now.since(work.deadline)
+        )
+    });
+    let code = match last {
+        Item::Refused(refusal) => refusal.code(),
+        _ => "whole",
+    };
+    telemetry::ended(code);
+    work.span.set("outcome", code);
+    let took = now.since(work.arrived).as_millis();
+    let reason = match last {
+        Item::Refused(refusal) => format!("took_ms={took} reason={refusal}"),
+        _ => format!("took_ms={took} tokens={}", work.delivered),
+    };
+    shared.note(work.id, code, reason);
+}
+
+/// Tries the request until an attempt brings the whole answer or no retry is left.
+async fn drive(
+    shared: &Arc<Shared>,
+    work: &mut Work,
+    sink: &mpsc::Sender<Item>,
+) -> Result<Usage, Ended> {
+    let mut plan = Plan::new(work.deadline);
+    let mut avoid = Vec::new();
+    loop {
+        let number = plan.start(&mut shared.tables.budget.lock());
+        let ended = match attempt::run(shared, work, number, &avoid, sink).await {
+            Ok(usage) => return Ok(usage),
+            Err(ended) => ended,
+        };
+        let Ended::Fault(fault, endpoint) = ended else {
+            return Err(ended);
+        };
+        telemetry::fault(fault.as_str());
+        let at = endpoint.as_ref().map_or("none", Endpoint::as_str);
+        let reason = format!(
+            "number={number} fault={} endpoint={at} delivered={}",
+            fault.as_str(),
+            work.delivered
+        );
+        shared.note(work.id, "attempt_failed", reason);
+        avoid.extend(endpoint);
+        let now = shared.now();
+        let step = shared
+            .with_random(|random| plan.after(now, fault, &mut shared.tables.budget.lock(), random));
+        match step {
+            Step::Retry(wait) => tokio::time::sleep(wait).await,
+            Step::End(refusal) => return Err(Ended::Refused(refusal)),
+        }
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -14,8 +14,8 @@
 /// What a node tells others a few times a second, over UDP.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// The sender's own entry first, then the members that it heard from last.
-    pub entries: Vec<membership::Entry>,
+    /// What the sender knows of members, its own entry first.
+    pub news: membership::News,
     /// The pools that the sender knows.
     pub pools: Vec<PoolEntry>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,11 @@
 //! Authenticated postcard frames between nodes, over UDP and TCP.
 //!
 //! ```
+//! use filbertstage_kernel::membership::News;
 //! use filbertstage_wire::{datagram, Heartbeat};
 //!
-//! let beat = Heartbeat { entries: Vec::new(), pools: Vec::new() };
+//! let news = News { entries: Vec::new(), beats: Vec::new() };
+//! let beat = Heartbeat { news, pools: Vec::new() };
 //! let bytes = datagram::encode(b"key", &beat).expect("a small heartbeat fits");
 //! assert_eq!(datagram::decode(b"key", &bytes), Ok(beat));
 //! assert!(datagram::decode(b"other key", &bytes).is_err());
