--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Authenticated postcard frames between nodes, over UDP and TCP.
 //!
 //! ```
-//! use filbertstage_kernel::membership::News;
+//! use kernel::membership::News;
 //! use filbertstage_wire::{datagram, Heartbeat};
 //!
 //! let news = News { entries: Vec::new(), beats: Vec::new() };
