Partitions between failure domains, tested; forgetting claims no longer scans all keys

The network between nodes is behind a trait, as the platform, the endpoints and the clock are; the test fleet can cut a road in either direction, with open connections going silent. A node took the lists for stale between two long polls and asked its peers; the bound is now longer than two polls.

--- a/bin/filbertctl/src/cmd/cost.rs
+++ b/bin/filbertctl/src/cmd/cost.rs
@@ -228,11 +228,10 @@
 async fn open_streams(setup: &Setup, report: &mut Report) -> Result<(), Error> {
     let mut callers = JoinSet::new();
     let (opened, mut news) = tokio::sync::mpsc::unbounded_channel();
-    for number in 0..setup.streams {
+    for prompt in long_answers().take(setup.streams) {
         let (node, opened) = (setup.node, opened.clone());
         callers.spawn(async move {
             let key = fleet::key(0);
-            let prompt = scenario::prompt(200, number as u64);
             let ask = Ask {
                 key: &key,
                 model: MODEL,
@@ -264,6 +263,16 @@
     Ok(())
 }
 
+/// Short prompts with long answers, whose streams stay open while others start.
+fn long_answers() -> impl Iterator<Item = String> {
+    const PROMPT_TOKENS: u64 = 16;
+    const ANSWER_TOKENS: u64 = 50;
+    let prompts = (0..).map(|seed| scenario::prompt(PROMPT_TOKENS, seed));
+    prompts.filter(|prompt| {
+        fakes::text::length(fakes::text::digest(prompt), u64::MAX) >= ANSWER_TOKENS
+    })
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/bin/filbertctl/src/cmd/slopes.rs
+++ b/bin/filbertctl/src/cmd/slopes.rs
@@ -52,7 +52,7 @@
     for nodes in [5, 13, 32, 64, 128] {
         lines.extend(heartbeats(nodes));
     }
-    for waiting in [10, 100, 1_000, 5_000] {
+    for waiting in [10, 1_000, 5_000] {
         lines.extend(pool(60, waiting));
     }
     for engines in [8, 60, 480] {
--- a/bin/filbertctl/src/cmd/soak/faults.rs
+++ b/bin/filbertctl/src/cmd/soak/faults.rs
@@ -20,6 +20,7 @@
 enum Lasting {
     NodeDead(usize),
     NodeCut(usize),
+    Roads,
     Log,
     Service,
 }
@@ -40,12 +41,13 @@
         random: &mut SmallRng,
     ) {
         let until = Instant::now() + Duration::from_millis(random.random_range(300..3_000));
-        match random.random_range(0..13) {
+        match random.random_range(0..15) {
             0..6 => engine_fault(fleet, tally, random),
             6 | 7 => self.kill_node(fleet, roster, tally, random, until),
             8 => self.cut_node(fleet, tally, random, until),
             9..11 => self.log_fault(fleet, tally, random, until),
-            _ => self.service_fault(fleet, tally, random, until),
+            11 | 12 => self.service_fault(fleet, tally, random, until),
+            _ => self.cut_domain(fleet, tally, random, until),
         }
     }
 
@@ -81,6 +83,28 @@
         }
     }
 
+    /// Cuts a failure domain off from the others, in one direction or in both.
+    fn cut_domain(&mut self, fleet: &Fleet, tally: &Tally, random: &mut SmallRng, until: Instant) {
+        let domains = &fleet.plan.domains;
+        let alone = &domains[random.random_range(0..domains.len())].name;
+        let direction = random.random_range(0..3);
+        let kind = if direction == 2 {
+            "domain_cut"
+        } else {
+            "domain_cut_one_way"
+        };
+        tally.fault(kind, alone);
+        for other in domains.iter().filter(|domain| domain.name != *alone) {
+            if direction != 0 {
+                fleet.roads.cut(alone, &other.name, true);
+            }
+            if direction != 1 {
+                fleet.roads.cut(&other.name, alone, true);
+            }
+        }
+        self.lasting.push((until, Lasting::Roads));
+    }
+
     fn log_fault(&mut self, fleet: &Fleet, tally: &Tally, random: &mut SmallRng, until: Instant) {
         let mut faults = log::Faults::default();
         let kind = match random.random_range(0..4) {
@@ -175,6 +199,7 @@
                 member.cut.set(false);
             }
         }
+        Lasting::Roads => fleet.roads.heal(),
         Lasting::Log => fleet.platform.log.inject(log::Faults::default()),
         Lasting::Service => fleet.service.inject(service::Faults::default()),
     }
--- a/bin/filbertctl/src/fleet/lists.rs
+++ b/bin/filbertctl/src/fleet/lists.rs
@@ -38,7 +38,7 @@
             "models": [MODEL],
             "services": [SERVICE],
             "requests_per_second": 100_000.0,
-            "concurrency": 100_000,
+            "concurrency": fleet.plan.concurrency,
         })
     };
     let workspaces: Vec<_> = (0..fleet.plan.workspaces).map(plan).collect();
--- a/bin/filbertctl/src/fleet/member.rs
+++ b/bin/filbertctl/src/fleet/member.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use kernel::name::{Domain, Host};
 use node::settings::Settings;
-use node::{Node, Outside, SystemClock};
+use node::{Network, Node, Outside, SystemClock};
 use platform::{Batch, Entry, Error, Hosts, Load, Log, Remote, Weights};
 use tokio::runtime::{Builder, Runtime};
 
@@ -83,7 +83,12 @@
     /// # Errors
     ///
     /// The system's error.
-    pub async fn start(settings: Settings, seed: u64, threads: usize) -> io::Result<Self> {
+    pub async fn start(
+        settings: Settings,
+        network: Arc<dyn Network>,
+        seed: u64,
+        threads: usize,
+    ) -> io::Result<Self> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(threads)
             .enable_all()
@@ -97,6 +102,7 @@
             log: reach.clone(),
             hosts: reach.clone(),
             weights: reach,
+            network,
             clock: Arc::new(SystemClock::default()),
             seed: Some(seed),
         };
@@ -122,6 +128,12 @@
         self.node.ready()
     }
 
+    /// Where other nodes reach the node.
+    #[must_use]
+    pub fn nodes(&self) -> SocketAddr {
+        self.node.nodes()
+    }
+
     /// Number of other nodes that the node knows to be alive.
     #[must_use]
     pub fn peers(&self) -> usize {
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod lists;
 mod member;
+mod roads;
 
 use std::io;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 
 pub use lists::{BOOKING, MODEL, REPORT, SERVICE, WORKSPACE, key, key_hash};
 pub use member::{Cut, Member};
+pub use roads::Roads;
 
 /// The key that all nodes of a fleet share.
 const FLEET_KEY: &str = "a fleet key for stand-ins on loopback only";
@@ -58,6 +60,8 @@
     pub kv_total: u64,
     /// Most streams at once on each engine.
     pub most_running: usize,
+    /// Most requests of a workspace at once.
+    pub concurrency: u32,
     /// How long an idempotency key is remembered.
     pub claim_window: Duration,
 }
@@ -82,6 +86,7 @@
             threads: 2,
             kv_total: 400_000,
             most_running: 64,
+            concurrency: 100_000,
             claim_window: Duration::from_hours(1),
         }
     }
@@ -127,6 +132,8 @@
     pub nodes: Vec<Option<Member>>,
     /// Settings of the nodes, also of killed ones.
     pub settings: Vec<Settings>,
+    /// The network between the nodes.
+    pub roads: Roads,
 }
 
 impl Fleet {
@@ -146,6 +153,7 @@
             workers: Vec::new(),
             nodes: Vec::new(),
             settings: Vec::new(),
+            roads: Roads::default(),
             plan: plan.clone(),
         };
         for domain in &plan.domains {
@@ -217,7 +225,9 @@
             .wrapping_mul(1_000)
             .wrapping_add(Self::starts());
         let settings = self.settings[index].clone();
-        let member = Member::start(settings, seed, self.plan.threads).await?;
+        let network = self.roads.from_domain(&settings.domain);
+        let member = Member::start(settings, network, seed, self.plan.threads).await?;
+        self.roads.place(member.nodes(), member.domain());
         if index < self.nodes.len() {
             self.nodes[index] = Some(member);
         } else {
--- a/bin/filbertctl/tests/suite/main.rs
+++ b/bin/filbertctl/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod failures;
 mod lists;
+mod partitions;
 mod serving;
 
 use std::net::SocketAddr;
--- a/crates/kernel/src/claim.rs
+++ b/crates/kernel/src/claim.rs
@@ -4,7 +4,7 @@
 //! the key. Exactly one attempt is sent, and its outcome is appended. Whoever repeats the key gets
 //! the outcome, or `unknown` when the claimant died between sending and recording it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -99,7 +99,9 @@
     window_ms: u64,
     keys: BTreeMap<String, Entry>,
     order: VecDeque<(u64, String)>,
-    settled: BTreeMap<request::Attempt, u64>,
+    /// Attempts whose claim counts no more, or no claim of theirs may count.
+    settled: BTreeSet<request::Attempt>,
+    settled_order: VecDeque<(u64, request::Attempt)>,
 }
 
 /// Margin after a claim's time limit before its outcome is called unknown.
@@ -114,7 +116,8 @@
             window_ms: u64::try_from(window.as_millis()).unwrap_or(u64::MAX),
             keys: BTreeMap::new(),
             order: VecDeque::new(),
-            settled: BTreeMap::new(),
+            settled: BTreeSet::new(),
+            settled_order: VecDeque::new(),
         }
     }
 
@@ -147,7 +150,7 @@
     fn fold(&mut self, now: Instant, logged_ms: u64, record: Record) {
         match record {
             Record::Claim(claim) => self.claim(now, logged_ms, claim),
-            Record::Abandon { key, attempt } => self.abandon(&key, attempt),
+            Record::Abandon { key, attempt } => self.abandon(logged_ms, &key, attempt),
             Record::Outcome {
                 key,
                 attempt,
@@ -171,17 +174,20 @@
                 self.keys.remove(&key);
             }
         }
-        let window = self.window_ms;
-        self.settled
-            .retain(|_, logged| logged.saturating_add(window) >= logged_ms);
+        while let Some((logged, attempt)) = self.settled_order.front().copied()
+            && logged.saturating_add(self.window_ms) < logged_ms
+        {
+            self.settled_order.pop_front();
+            self.settled.remove(&attempt);
+        }
     }
 
     fn claim(&mut self, now: Instant, logged_ms: u64, claim: Claim) {
         // A claim appended twice, or one whose abandonment came first, changes nothing.
-        if self.keys.contains_key(&claim.key) || self.settled.contains_key(&claim.attempt) {
+        if self.keys.contains_key(&claim.key) || self.settled.contains(&claim.attempt) {
             return;
         }
-        self.settled.insert(claim.attempt, logged_ms);
+        self.settle(logged_ms, claim.attempt);
         self.order.push_back((logged_ms, claim.key.clone()));
         let entry = Entry {
             state: State::Claimed {
@@ -193,8 +199,14 @@
         self.keys.insert(claim.key, entry);
     }
 
-    fn abandon(&mut self, key: &str, attempt: request::Attempt) {
-        self.settled.entry(attempt).or_insert(u64::MAX);
+    fn settle(&mut self, logged_ms: u64, attempt: request::Attempt) {
+        if self.settled.insert(attempt) {
+            self.settled_order.push_back((logged_ms, attempt));
+        }
+    }
+
+    fn abandon(&mut self, logged_ms: u64, key: &str, attempt: request::Attempt) {
+        self.settle(logged_ms, attempt);
         if self.claimant(key) == Some(attempt) {
             self.keys.remove(key);
         }
@@ -231,7 +243,7 @@
         attempt: request::Attempt,
     ) -> Verdict {
         let Some(entry) = self.keys.get(key) else {
-            return if self.settled.contains_key(&attempt) {
+            return if self.settled.contains(&attempt) {
                 Verdict::Free
             } else {
                 Verdict::Pending
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -26,7 +26,7 @@
 /// Wait after a read failed.
 const RETRY: Duration = Duration::from_millis(250);
 /// Age of the last read at which a node asks its peers for lists.
-const PEERS_AFTER: Duration = Duration::from_millis(1_500);
+const PEERS_AFTER: Duration = Duration::from_millis(2_500);
 /// Time between two questions to peers.
 const PEERS_EVERY: Duration = Duration::from_millis(300);
 /// Age of the last read at which claims count as stale.
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -30,7 +30,11 @@
         let (datagram, targets) = beat(&shared);
         for target in targets {
             // A heartbeat that is lost is replaced by the next one.
-            let _ = socket.send_to(&datagram, target).await;
+            let _ = shared
+                .outside
+                .network
+                .send(&socket, &datagram, target)
+                .await;
         }
     }
 }
@@ -163,7 +167,11 @@
             let (datagram, _) = beat(&shared);
             let missing = listed.iter().filter(|entry| !live.contains(&entry.host));
             for address in missing.filter_map(|entry| entry.address.parse::<SocketAddr>().ok()) {
-                let _ = socket.send_to(&datagram, address).await;
+                let _ = shared
+                    .outside
+                    .network
+                    .send(&socket, &datagram, address)
+                    .await;
             }
         }
         tokio::time::sleep(HOSTS_EVERY).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,4 +36,4 @@
 mod watch;
 
 pub use node::Node;
-pub use shared::{Clock, Outside, SystemClock};
+pub use shared::{Clock, Network, Outside, SystemClock, SystemNetwork};
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -13,9 +13,11 @@
 use wire::stream::Connection;
 use wire::{Error, Frame, Refused};
 
-use crate::shared::Shared;
+use crate::shared::{Network, Shared};
 use crate::{call, deferred, dispatch, limits, serve, status};
 
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a short call.
 const LIMIT: Duration = Duration::from_secs(1);
 /// Idle connections kept for one node.
@@ -26,20 +28,26 @@
 /// Connections to other nodes.
 pub(crate) struct Peers {
     key: Vec<u8>,
+    network: Arc<dyn Network>,
     idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Peers {
-    pub fn new(key: &str) -> Self {
+    pub fn new(key: &str, network: Arc<dyn Network>) -> Self {
         Self {
             key: key.as_bytes().to_vec(),
+            network,
             idle: Mutex::default(),
         }
     }
 
     /// A connection to `address`, made now.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
-        Connection::connect(address, &self.key, nonce()).await
+        let socket = tokio::time::timeout(CONNECT, self.network.connect(address)).await;
+        let socket = socket
+            .map_err(|_| Error::Unreachable("no connection in time".to_owned()))?
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        Connection::start(socket, &self.key, nonce()).await
     }
 
     /// Sends a frame and returns the answer, over an idle connection where there is one.
@@ -109,7 +117,10 @@
 
 async fn converse(shared: Arc<Shared>, socket: TcpStream) {
     let key = shared.settings.fleet_key.as_bytes();
-    let Ok(mut connection) = Connection::accept(socket, key, nonce()).await else {
+    if socket.set_nodelay(true).is_err() {
+        return;
+    }
+    let Ok(mut connection) = Connection::start(Box::new(socket), key, nonce()).await else {
         return;
     };
     loop {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,11 +1,13 @@
 //! What all tasks of a node share.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use async_trait::async_trait;
 use endpoint::Client;
 use kernel::journal::Journal;
 use kernel::prelude::*;
@@ -14,7 +16,9 @@
 use platform::{Hosts, Log, Remote, Weights};
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
+use wire::stream::Socket;
 
 use crate::peer::Peers;
 use crate::settings::Settings;
@@ -51,6 +55,33 @@
     }
 }
 
+/// Reaches other nodes.
+#[async_trait]
+pub trait Network: Send + Sync {
+    /// Connects to the node at `to`.
+    async fn connect(&self, to: SocketAddr) -> io::Result<Box<dyn Socket>>;
+
+    /// Sends a datagram; whether it arrives is not known.
+    async fn send(&self, from: &UdpSocket, datagram: &[u8], to: SocketAddr) -> io::Result<()>;
+}
+
+/// The system's network.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemNetwork;
+
+#[async_trait]
+impl Network for SystemNetwork {
+    async fn connect(&self, to: SocketAddr) -> io::Result<Box<dyn Socket>> {
+        let socket = TcpStream::connect(to).await?;
+        socket.set_nodelay(true)?;
+        Ok(Box::new(socket))
+    }
+
+    async fn send(&self, from: &UdpSocket, datagram: &[u8], to: SocketAddr) -> io::Result<()> {
+        from.send_to(datagram, to).await.map(drop)
+    }
+}
+
 /// Everything outside a node, behind trait objects.
 #[derive(Clone)]
 pub struct Outside {
@@ -60,6 +91,8 @@
     pub hosts: Arc<dyn Hosts>,
     /// The platform's weight store.
     pub weights: Arc<dyn Weights>,
+    /// The way to other nodes.
+    pub network: Arc<dyn Network>,
     /// The present time.
     pub clock: Arc<dyn Clock>,
     /// Where random choices start; `None` takes a seed from the system.
@@ -75,6 +108,7 @@
             log: remote.clone(),
             hosts: remote.clone(),
             weights: remote,
+            network: Arc::new(SystemNetwork),
             clock: Arc::new(SystemClock::default()),
             seed: None,
         }
@@ -137,7 +171,7 @@
         let domain = Domain::from(settings.domain.as_str());
         let advertised = settings.listen.advertise.unwrap_or(nodes);
         let tables = Tables::new(&settings, incarnation, advertised);
-        let peers = Peers::new(&settings.fleet_key);
+        let peers = Peers::new(&settings.fleet_key, Arc::clone(&outside.network));
         let tracing = Tracing::new(&settings);
         Self {
             host,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,12 +3,11 @@
 //! Both sides first send a random nonce. Each frame is tagged over both nonces, its direction and
 //! its number, so a frame cannot be changed, left out, repeated or sent back.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -18,10 +17,15 @@
 
 /// Largest frame, in bytes.
 pub const LARGEST: usize = 32 * 1_024 * 1_024;
-/// Longest wait for a connection and its nonces.
-const CONNECT: Duration = Duration::from_millis(500);
+/// Longest wait for the other side's nonce.
+const GREET: Duration = Duration::from_millis(500);
 const NONCE_BYTES: usize = 16;
 
+/// What carries the bytes of a connection.
+pub trait Socket: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Socket for T {}
+
 /// Numbers and tags the frames of one direction.
 #[derive(Debug)]
 struct Direction {
@@ -55,55 +59,32 @@
 }
 
 /// A connection to another node.
-#[derive(Debug)]
 pub struct Connection {
-    frames: Framed<TcpStream, LengthDelimitedCodec>,
+    frames: Framed<Box<dyn Socket>, LengthDelimitedCodec>,
     key: Vec<u8>,
     outward: Direction,
     inward: Direction,
 }
 
 impl Connection {
-    /// Connects to the node at `address`. `nonce` must be random.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Unreachable`] when no connection is made in time.
-    pub async fn connect(
-        address: SocketAddr,
-        key: &[u8],
-        nonce: [u8; NONCE_BYTES],
-    ) -> Result<Self, Error> {
-        let unreachable = |error: std::io::Error| Error::Unreachable(error.to_string());
-        let socket = timeout(CONNECT, TcpStream::connect(address))
-            .await
-            .map_err(|_| Error::Unreachable("no connection in time".to_owned()))?
-            .map_err(unreachable)?;
-        Self::greet(socket, key, nonce).await
-    }
-
-    /// Takes a connection that another node has made.
+    /// Starts a session over a connected socket, on either side. `nonce` must be random.
     ///
     /// # Errors
     ///
-    /// [`Error::Closed`] or [`Error::Silent`] when the other side sends no nonce.
-    pub async fn accept(
-        socket: TcpStream,
+    /// [`Error::Closed`], [`Error::Silent`] or [`Error::Malformed`] when the other side sends no
+    /// nonce of its own.
+    pub async fn start(
+        socket: Box<dyn Socket>,
         key: &[u8],
         nonce: [u8; NONCE_BYTES],
     ) -> Result<Self, Error> {
-        Self::greet(socket, key, nonce).await
-    }
-
-    async fn greet(socket: TcpStream, key: &[u8], nonce: [u8; NONCE_BYTES]) -> Result<Self, Error> {
-        socket.set_nodelay(true).map_err(|_| Error::Closed)?;
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(LARGEST)
             .new_codec();
         let mut frames = Framed::new(socket, codec);
         let sent = frames.send(Bytes::copy_from_slice(&nonce)).await;
         sent.map_err(|_| Error::Closed)?;
-        let theirs = timeout(CONNECT, frames.next())
+        let theirs = timeout(GREET, frames.next())
             .await
             .map_err(|_| Error::Silent)?
             .ok_or(Error::Closed)?
