Spans, metrics and explanations tested; the spread command; deferred requests count against plan limits

Found while reading: deferred requests passed the plan's limits; a repeatable call that another domain did not answer was reported as unknown instead of failed; finish_reason said stop when the answer had reached max_tokens. The looks at engines are a second apart by default, to stay nearer to the budget of 8 KB a second for control.

--- a/bin/filbertctl/src/caller.rs
+++ b/bin/filbertctl/src/caller.rs
@@ -10,6 +10,8 @@
 use serde_json::{Value, json};
 use volo_http::client::sse::SseExt;
 
+use crate::fleet::MODEL;
+
 /// How long a caller waits beyond its time limit before it counts the answer as late.
 pub const GRACE: Duration = Duration::from_millis(250);
 
@@ -82,6 +84,21 @@
     pub last_event: &'a str,
 }
 
+impl<'a> Ask<'a> {
+    /// A request to the fleet's model, from its start on.
+    #[must_use]
+    pub const fn new(key: &'a str, prompt: &'a str, answer_tokens: u64, limit: Duration) -> Self {
+        Self {
+            key,
+            model: MODEL,
+            prompt,
+            answer_tokens,
+            limit,
+            last_event: "",
+        }
+    }
+}
+
 /// Sends a streamed completion and checks its text.
 pub async fn complete(address: SocketAddr, ask: Ask<'_>) -> Seen {
     complete_watched(address, ask, &mut |_| {}).await
--- a/bin/filbertctl/src/cmd/cost.rs
+++ b/bin/filbertctl/src/cmd/cost.rs
@@ -148,14 +148,7 @@
 
 async fn ask(node: SocketAddr, prompt: &str) -> caller::Seen {
     let key = fleet::key(0);
-    let ask = Ask {
-        key: &key,
-        model: MODEL,
-        prompt,
-        answer_tokens: 8,
-        limit: LIMIT,
-        last_event: "",
-    };
+    let ask = Ask::new(&key, prompt, 8, LIMIT);
     caller::complete(node, ask).await
 }
 
@@ -232,14 +225,7 @@
         let (node, opened) = (setup.node, opened.clone());
         callers.spawn(async move {
             let key = fleet::key(0);
-            let ask = Ask {
-                key: &key,
-                model: MODEL,
-                prompt: &prompt,
-                answer_tokens: 64,
-                limit: LIMIT,
-                last_event: "",
-            };
+            let ask = Ask::new(&key, &prompt, 64, LIMIT);
             let mut first = |tokens: usize| {
                 if tokens == 1 {
                     // The measuring side keeps the other end until all have ended.
--- a/bin/filbertctl/src/cmd/demo.rs
+++ b/bin/filbertctl/src/cmd/demo.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::arguments::{Arguments, Error};
-use super::{EXIT_FAILED, runtime};
+use super::{EXIT_FAILED, runtime, told_to_end};
 use crate::caller::{self, Ask, End, Seen};
 use crate::fleet::{self, BOOKING, Fleet, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::scenario;
@@ -68,8 +68,7 @@
     }
     if stay {
         println!("{}", hint(address));
-        // The node's own handlers take the signal too; the demo ends at once.
-        let _ = tokio::signal::ctrl_c().await;
+        told_to_end().await;
     }
     Ok(if whole {
         ExitCode::SUCCESS
@@ -81,14 +80,7 @@
 async fn prompt(address: std::net::SocketAddr, tokens: u64) -> Line {
     let text = scenario::prompt(tokens, tokens);
     let key = fleet::key(0);
-    let ask = Ask {
-        key: &key,
-        model: MODEL,
-        prompt: &text,
-        answer_tokens: 32,
-        limit: LIMIT,
-        last_event: "",
-    };
+    let ask = Ask::new(&key, &text, 32, LIMIT);
     let seen = caller::complete(address, ask).await;
     let endpoint = endpoint(address, &seen).await;
     Line {
--- a/bin/filbertctl/src/cmd/load/run.rs
+++ b/bin/filbertctl/src/cmd/load/run.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::caller::{self, Ask, End};
-use crate::fleet::{self, Fleet, MODEL, Plan};
+use crate::fleet::{self, Fleet, Plan};
 use crate::scenario::{self, Arrival};
 
 /// Longest wait for engines to be free of memory after the last answer.
@@ -81,14 +81,7 @@
         tokio::time::sleep_until(started + arrival.at).await;
         tasks.spawn(async move {
             let key = fleet::key(arrival.workspace);
-            let ask = Ask {
-                key: &key,
-                model: MODEL,
-                prompt: &prompt,
-                answer_tokens: arrival.answer_tokens,
-                limit,
-                last_event: "",
-            };
+            let ask = Ask::new(&key, &prompt, arrival.answer_tokens, limit);
             let seen = caller::complete(address, ask).await;
             let sample = Sample {
                 tokens: arrival.tokens,
--- a/bin/filbertctl/src/cmd/mod.rs
+++ b/bin/filbertctl/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod publish;
 mod slopes;
 mod soak;
+mod spread;
 mod stand_ins;
 mod status;
 
@@ -38,6 +39,7 @@
   explain    Show every decision on a request
   load       Measure policies under the same seeded arrivals
   soak       Run random load under random faults and check what must always hold
+  spread     Measure the time until a change is in force at every node
   slopes     Measure the kernel's state machines at growing sizes
   stand-ins  Run stand-ins for a node that runs as a process of its own
   cost       Measure the cost of a node that runs as a process of its own
@@ -60,7 +62,7 @@
     run: fn(&mut Arguments) -> Result<ExitCode, Error>,
 }
 
-const COMMANDS: [Command; 9] = [
+const COMMANDS: [Command; 10] = [
     Command {
         name: "demo",
         help: demo::HELP,
@@ -115,6 +117,12 @@
         flags: cost::FLAGS,
         run: cost::run,
     },
+    Command {
+        name: "spread",
+        help: spread::HELP,
+        flags: spread::FLAGS,
+        run: spread::run,
+    },
 ];
 
 /// Runs the command line.
@@ -178,6 +186,21 @@
     Ok(())
 }
 
+/// Waits until the process is told to end.
+async fn told_to_end() {
+    use tokio::signal::unix::{SignalKind, signal};
+    // The HTTP library listens to both signals, so that neither ends the process by itself.
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+        }
+        Err(_) => drop(tokio::signal::ctrl_c().await),
+    }
+}
+
 /// A runtime for the command's own work.
 fn runtime() -> Result<tokio::runtime::Runtime, Error> {
     tokio::runtime::Runtime::new()
--- a/bin/filbertctl/src/cmd/operator.rs
+++ b/bin/filbertctl/src/cmd/operator.rs
@@ -19,6 +19,14 @@
 }
 
 impl Operator {
+    /// The node at `address`, with an operator's key.
+    pub fn new(address: SocketAddr, key: &str) -> Self {
+        Self {
+            address,
+            key: key.to_owned(),
+        }
+    }
+
     /// Reads `--node` and `--key`.
     pub fn from_arguments(arguments: &mut Arguments) -> Result<Self, Error> {
         Ok(Self {
--- a/bin/filbertctl/src/cmd/soak/callers.rs
+++ b/bin/filbertctl/src/cmd/soak/callers.rs
@@ -151,14 +151,7 @@
 ) {
     let prompt = scenario::prompt(arrival.tokens, arrival.text_seed);
     let key = fleet::key(0);
-    let ask = Ask {
-        key: &key,
-        model: MODEL,
-        prompt: &prompt,
-        answer_tokens: arrival.answer_tokens,
-        limit: LIMIT_BASE,
-        last_event: "",
-    };
+    let ask = Ask::new(&key, &prompt, arrival.answer_tokens, LIMIT_BASE);
     let left = tokio::time::timeout(patience, caller::complete(roster.pick(choice), ask)).await;
     if left.is_err() {
         tally.note(format!("caller left after {patience:?}"));
@@ -216,14 +209,7 @@
     let prompt = scenario::prompt(arrival.tokens, arrival.text_seed);
     let expected = fakes::text::answer(&prompt, arrival.answer_tokens);
     let bearer = fleet::key(arrival.workspace % 4);
-    let ask = Ask {
-        key: &bearer,
-        model: MODEL,
-        prompt: &prompt,
-        answer_tokens: arrival.answer_tokens,
-        limit: DEFERRED_LIMIT,
-        last_event: "",
-    };
+    let ask = Ask::new(&bearer, &prompt, arrival.answer_tokens, DEFERRED_LIMIT);
     let (end, id) = caller::defer(roster.pick(choice), ask).await;
     if end != End::Whole {
         tally.ended("deferred", end, &id);
--- a/bin/filbertctl/src/cmd/stand_ins.rs
+++ b/bin/filbertctl/src/cmd/stand_ins.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use super::arguments::{Arguments, Error};
-use super::runtime;
+use super::{runtime, told_to_end};
 use crate::fleet::{self, Fleet, MODEL, OPERATOR_KEY, Plan};
 
 pub const HELP: &str = "\
@@ -24,7 +24,7 @@
       --json           Print JSON
       --log LEVEL      Show logs of this level
 
-Runs until Ctrl-C. Exit codes: 0 ended, 2 usage, 3 not started
+Runs until Ctrl-C or SIGTERM. Exit codes: 0 ended, 2 usage, 3 not started
 ";
 pub const FLAGS: &[&str] = &["settings=", "engines=", "scale=", "streams=", "port="];
 
@@ -63,7 +63,6 @@
             fleet::key(0)
         );
     }
-    // Whether the signal could be waited for does not matter at the end.
-    let _ = tokio::signal::ctrl_c().await;
+    told_to_end().await;
     Ok(ExitCode::SUCCESS)
 }
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod roads;
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,6 +63,8 @@
     pub most_running: usize,
     /// Most requests of a workspace at once.
     pub concurrency: u32,
+    /// Where the nodes send their spans.
+    pub collector: Option<SocketAddr>,
     /// How long an idempotency key is remembered.
     pub claim_window: Duration,
 }
@@ -87,6 +90,7 @@
             kv_total: 400_000,
             most_running: 64,
             concurrency: 100_000,
+            collector: None,
             claim_window: Duration::from_hours(1),
         }
     }
@@ -207,6 +211,7 @@
         settings.routing.policy.clone_from(&self.plan.policy);
         settings.routing.short_weight = self.plan.short_weight;
         settings.times.watch_ms = 100;
+        settings.trace.collector = self.plan.collector;
         settings.times.claim_window_ms =
             u64::try_from(self.plan.claim_window.as_millis()).unwrap_or(u64::MAX);
         settings.times.drain_ms = 60_000;
@@ -328,7 +333,7 @@
 
     /// A shared list of the callers' addresses.
     #[must_use]
-    pub fn callers(&self) -> Arc<Vec<std::net::SocketAddr>> {
+    pub fn callers(&self) -> Arc<Vec<SocketAddr>> {
         Arc::new(self.members().map(Member::callers).collect())
     }
 }
--- a/bin/filbertctl/tests/suite/main.rs
+++ b/bin/filbertctl/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod failures;
 mod lists;
+mod observing;
 mod partitions;
 mod serving;
 
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 use filbertctl::caller::Ask;
-use filbertctl::fleet::{Fleet, MODEL, Plan};
+use filbertctl::fleet::{Fleet, Plan};
 use http::Method;
 use platform::http::{Call, Connection};
 use serde_json::Value;
@@ -46,14 +47,7 @@
 }
 
 fn ask<'a>(key: &'a str, prompt: &'a str) -> Ask<'a> {
-    Ask {
-        key,
-        model: MODEL,
-        prompt,
-        answer_tokens: 64,
-        limit: LIMIT,
-        last_event: "",
-    }
+    Ask::new(key, prompt, 64, LIMIT)
 }
 
 /// Waits until `holds` is true.
--- /dev/null
+++ b/bin/filbertctl/tests/suite/observing.rs
@@ -0,0 +1,136 @@
+//! Traces, metrics and explanations.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fakes::Server;
+use filbertctl::caller::{self, End};
+use filbertctl::fleet::{self, Fleet, MODEL, OPERATOR_KEY, Plan};
+use http::Method;
+use serde_json::json;
+use volo_http::body::BodyConversion;
+use volo_http::request::Request;
+use volo_http::server::route::{Router, post};
+
+use crate::{LIMIT, ask, eventually, send, small};
+
+/// What a collector of spans has received.
+type Received = Arc<std::sync::Mutex<Vec<u8>>>;
+
+async fn collector() -> (Received, Server) {
+    let received = Received::default();
+    let store = Arc::clone(&received);
+    let take = async move |request: Request| {
+        let body = request.into_body().into_vec().await.unwrap_or_default();
+        store.lock().expect("no panic").extend(body);
+    };
+    let router = Router::new().route("/v1/traces", post(take));
+    let server = Server::start(router, 0)
+        .await
+        .expect("the collector starts");
+    (received, server)
+}
+
+#[tokio::test]
+async fn a_span_for_each_hop_continues_the_callers_trace_at_the_collector() {
+    let (received, server) = collector().await;
+    let mut plan = Plan::new(&[("charnwood", 1, 1, 0)], 10);
+    plan.collector = Some(server.address);
+    let mut fleet = Fleet::start(plan).await.expect("the fleet starts");
+    let authorization = format!("Bearer {}", fleet::key(0));
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let parent = format!("00-{trace}-00f067aa0ba902b7-01");
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("traceparent", parent.as_str()),
+    ];
+    let body = json!({ "model": MODEL, "prompt": "p", "max_tokens": 2 }).to_string();
+    let (status, _, _) = send(
+        fleet.callers()[0],
+        Method::POST,
+        "/v1/completions",
+        &headers,
+        body,
+    )
+    .await;
+    assert_eq!(status, 200);
+    assert!(fleet.drain(0).await);
+    let holds = |bytes: &[u8]| {
+        received
+            .lock()
+            .expect("no panic")
+            .windows(bytes.len())
+            .any(|part| part == bytes)
+    };
+    eventually("the export", || {
+        holds(b"request") && holds(b"queue") && holds(b"engine")
+    })
+    .await;
+    let id: Vec<_> = (0..trace.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&trace[at..at + 2], 16).expect("hexadecimal"))
+        .collect();
+    assert!(holds(&id), "the spans belong to the caller's trace");
+}
+
+#[tokio::test]
+async fn metrics_and_explanations_tell_what_happened() {
+    let fleet = small(2, 1).await;
+    let callers = fleet.callers();
+    let (key, prompt) = (fleet::key(0), "Is the loop groomed?");
+    let seen = caller::complete(callers[0], ask(&key, prompt)).await;
+    assert_eq!(seen.end, End::Whole);
+    let authorization = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", authorization.as_str())];
+    let path = format!("/operator/explain/{}", seen.request);
+    let (_, _, explained) = send(callers[1], Method::GET, &path, &headers, String::new()).await;
+    let events: Vec<_> = explained["decisions"]
+        .as_array()
+        .expect("decisions")
+        .iter()
+        .map(|decision| decision["event"].clone())
+        .collect();
+    assert_eq!(
+        events,
+        ["admitted", "granted", "first_token", "whole"],
+        "asked at the other node"
+    );
+    let (status, _, refused) = send(callers[0], Method::GET, &path, &[], String::new()).await;
+    assert_eq!(
+        (status, refused["error"]["code"].as_str()),
+        (403, Some("forbidden"))
+    );
+    let connection = platform::http::Connection::new(callers[0]);
+    let call = platform::http::Call {
+        method: Method::GET,
+        path: "/metrics",
+        headers: &[],
+        body: bytes::Bytes::new(),
+    };
+    let metrics = connection.fetch(call, LIMIT).await.expect("metrics");
+    let metrics = String::from_utf8_lossy(&metrics).into_owned();
+    assert!(
+        metrics.contains("filbertstage_requests_total{outcome=\"whole\"}"),
+        "{metrics}"
+    );
+    assert!(
+        !metrics.contains("filbertstage_violations_total"),
+        "{metrics}"
+    );
+}
+
+#[tokio::test]
+async fn a_draining_node_says_that_it_is_not_ready() {
+    let mut fleet = small(1, 1).await;
+    let address = fleet.callers()[0];
+    let (status, _, _) = send(address, Method::GET, "/readyz", &[], String::new()).await;
+    assert_eq!(status, 200);
+    let looked = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        send(address, Method::GET, "/readyz", &[], String::new())
+            .await
+            .0
+    });
+    assert!(fleet.drain(0).await);
+    assert_eq!(looked.await.expect("no panic"), 503);
+}
--- a/bin/filbertctl/tests/suite/partitions.rs
+++ b/bin/filbertctl/tests/suite/partitions.rs
@@ -20,9 +20,12 @@
     fleet.roads.cut("cannock", "charnwood", inward);
 }
 
-async fn all_serve(fleet: &Fleet, seed: u64) {
+async fn all_serve(fleet: &Fleet, first_prompt: u64) {
     for (index, address) in fleet.callers().iter().enumerate() {
-        let (key, prompt) = (fleet::key(0), scenario::prompt(3_000, seed + index as u64));
+        let (key, prompt) = (
+            fleet::key(0),
+            scenario::prompt(3_000, first_prompt + index as u64),
+        );
         let seen = caller::complete(*address, ask(&key, &prompt)).await;
         assert_eq!(seen.end, End::Whole, "node {index}: {}", seen.error);
         assert!(
--- a/bin/filbertctl/tests/suite/serving.rs
+++ b/bin/filbertctl/tests/suite/serving.rs
@@ -30,6 +30,7 @@
     let expected = fakes::text::answer("user: Is the loop groomed?\n", 8);
     assert_eq!(document["choices"][0]["message"]["content"], expected);
     assert_eq!(document["usage"]["completion_tokens"], 8);
+    assert_eq!(document["choices"][0]["finish_reason"], "length");
     let (_, _, models) = send(address, Method::GET, "/v1/models", &headers, String::new()).await;
     insta::assert_json_snapshot!(models);
 }
--- a/crates/node/src/api/answer.rs
+++ b/crates/node/src/api/answer.rs
@@ -50,17 +50,16 @@
     let body = read_body(&shared, body).await?;
     let prompt = prompt::read(kind, &body)?;
     let admitted = admit(&shared, &caller, &headers, &prompt)?;
-    if asks_to_defer(&headers) {
-        return defer(&shared, caller, id, &prompt, body, admitted).await;
-    }
     let need = Need {
         tokens: admitted.prompt_tokens + prompt.answer_tokens,
     };
-    let place = limits::take(&shared, &caller.workspace, need)
-        .await
-        .inspect_err(|refusal| {
-            shared.note(id, refusal.code(), refusal.to_string());
-        })?;
+    let place = limits::take(&shared, &caller.workspace, need).await;
+    let place = place.inspect_err(|refusal| {
+        shared.note(id, refusal.code(), refusal.to_string());
+    })?;
+    if asks_to_defer(&headers) {
+        return defer(&shared, caller, id, &prompt, body, admitted).await;
+    }
     let trace = auth::text(&headers, "traceparent").to_owned();
     let work = work(
         &shared,
@@ -90,6 +89,7 @@
         created: arrived.as_millis() / 1_000,
         model: prompt.model.clone(),
         kind,
+        limit: prompt.answer_tokens,
     };
     Ok(respond(answer, seal, &prompt, items).await)
 }
@@ -267,6 +267,7 @@
         created: now.as_millis() / 1_000,
         model: prompt.model.clone(),
         kind,
+        limit: prompt.answer_tokens,
     };
     match collect(items).await {
         Ok(whole) => (200, shape.whole(&whole).to_string()),
@@ -301,6 +302,8 @@
     created: u64,
     model: String,
     kind: Kind,
+    /// Most tokens to answer.
+    limit: u64,
 }
 
 /// An answer that arrived whole.
@@ -435,18 +438,28 @@
         })
     }
 
+    /// Why the answer ended, in the words of the interface.
+    const fn finish_reason(&self, usage: Usage) -> &'static str {
+        if usage.answer_tokens >= self.limit {
+            "length"
+        } else {
+            "stop"
+        }
+    }
+
     fn whole(&self, whole: &Whole) -> Value {
+        let finish = self.finish_reason(whole.usage);
         let (object, choice) = match self.kind {
             Kind::Chat => {
                 let message = json!({ "role": "assistant", "content": whole.text });
                 (
                     "chat.completion",
-                    json!({ "index": 0, "message": message, "finish_reason": "stop" }),
+                    json!({ "index": 0, "message": message, "finish_reason": finish }),
                 )
             }
             Kind::Text => (
                 "text_completion",
-                json!({ "index": 0, "text": whole.text, "finish_reason": "stop" }),
+                json!({ "index": 0, "text": whole.text, "finish_reason": finish }),
             ),
         };
         let mut document = self.document(object, &choice);
@@ -479,9 +492,10 @@
     }
 
     fn last_chunk(&self, usage: Usage, include_usage: bool) -> Value {
+        let finish = self.finish_reason(usage);
         let choice = match self.kind {
-            Kind::Chat => json!({ "index": 0, "delta": {}, "finish_reason": "stop" }),
-            Kind::Text => json!({ "index": 0, "text": "", "finish_reason": "stop" }),
+            Kind::Chat => json!({ "index": 0, "delta": {}, "finish_reason": finish }),
+            Kind::Text => json!({ "index": 0, "text": "", "finish_reason": finish }),
         };
         let mut document = self.chunk_with(&choice);
         if include_usage {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -68,7 +68,7 @@
     };
     let services = services(shared, &call.service);
     if services.is_empty() {
-        return elsewhere(shared, &call).await;
+        return elsewhere(shared, &call, entry.repeatable).await;
     }
     if entry.repeatable {
         repeat(shared, &call, &services).await
@@ -92,7 +92,7 @@
 }
 
 /// Lets a node of a failure domain that has the service make the call.
-async fn elsewhere(shared: &Arc<Shared>, call: &Call) -> Result<Answer, Refusal> {
+async fn elsewhere(shared: &Arc<Shared>, call: &Call, repeatable: bool) -> Result<Answer, Refusal> {
     let what = || {
         format!(
             "no endpoint of service {:?} can be reached",
@@ -133,17 +133,23 @@
         body: call.body.clone(),
         remaining: remaining.saturating_sub(DEADLINE_MARGIN),
     };
-    // From here on the call may run: what is not answered is unknown.
-    let unknown = || Refusal::Unknown(call.key.clone());
+    // From here on the call may run.
+    let unanswered = || {
+        if repeatable {
+            Refusal::Exhausted(1, "no answer".to_owned())
+        } else {
+            Refusal::Unknown(call.key.clone())
+        }
+    };
     let sent = connection.send(&Frame::Call(Box::new(frame))).await;
-    sent.map_err(|_| unknown())?;
+    sent.map_err(|_| unanswered())?;
     match connection
         .receive(remaining.saturating_sub(DEADLINE_MARGIN))
         .await
     {
         Ok(Frame::Answer(status, body)) => Ok(Answer { status, body }),
         Ok(Frame::Refused(refused)) => Err(refused.refusal),
-        Ok(_) | Err(_) => Err(unknown()),
+        Ok(_) | Err(_) => Err(unanswered()),
     }
 }
 
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -187,7 +187,7 @@
         Self {
             drain_ms: 120_000,
             claim_window_ms: 3_600_000,
-            watch_ms: 250,
+            watch_ms: 1_000,
         }
     }
 }
