Admission counts started requests; predictions learn short and long prompts apart; smaller files

The check that a new request makes none late looked at waiting requests only, while a long one that has started is overtaken by every short one that is let in; and one correction served all lengths, though long prompts run in smaller steps. Change: started requests without a first token are checked too; a correction for each class; a job's idle-engine time is computed once. Conclusion: better, not solved; the prediction stays too hopeful for overtaken long prompts. The API's documents and streams, and the pool's predictions, are modules of their own now.

--- a/bin/filbertctl/src/cmd/load/mod.rs
+++ b/bin/filbertctl/src/cmd/load/mod.rs
@@ -136,7 +136,7 @@
     let mixed = runtime()?.block_on(run::run(&plan, &arrivals, &title));
     let mixed = mixed.map_err(unusable)?;
     if setup.mixed_only {
-        return Ok(Run::new(policy, &plan, &mixed, None));
+        return Ok(Run::new(policy, &plan, setup.time, &mixed, None));
     }
     let is_short = |arrival: &&Arrival| arrival.tokens <= SHORT_TOKENS;
     let short: Vec<_> = arrivals.iter().filter(is_short).cloned().collect();
@@ -145,6 +145,7 @@
     Ok(Run::new(
         policy,
         &plan,
+        setup.time,
         &mixed,
         Some(&alone.map_err(unusable)?),
     ))
--- a/bin/filbertctl/src/cmd/load/report.rs
+++ b/bin/filbertctl/src/cmd/load/report.rs
@@ -44,7 +44,8 @@
     pub leaked_bytes: u64,
     pub wrong_answers: usize,
     pub short_blocking_p95: Option<f64>,
-    pub goodput_tokens: u64,
+    /// Prompt tokens a second of requests that ended whole in the second half of the arrivals.
+    pub goodput_tokens_per_second: f64,
     pub buckets: Vec<Bucket>,
 }
 
@@ -85,6 +86,20 @@
         .filter(|sample| sample.tokens <= SHORT_TOKENS)
 }
 
+/// Prompt tokens a second of the requests that ended whole in the second half of `time`, when the
+/// queues have filled.
+#[allow(clippy::cast_precision_loss)]
+fn goodput(seen: &Seen, time: Duration) -> f64 {
+    let half = time / 2;
+    let whole = seen
+        .samples
+        .iter()
+        .filter(|sample| sample.end == End::Whole);
+    let late_half = whole.filter(|sample| sample.ended > half && sample.ended <= time);
+    let tokens: u64 = late_half.map(|sample| sample.tokens).sum();
+    tokens as f64 / half.as_secs_f64()
+}
+
 impl Bucket {
     #[allow(clippy::cast_precision_loss)]
     fn new(tokens_up_to: u64, samples: &[Sample]) -> Self {
@@ -117,7 +132,13 @@
 
 impl Run {
     /// Sums up a run with all prompts and one with the short ones alone.
-    pub fn new(policy: &str, plan: &Plan, mixed: &Seen, alone: Option<&Seen>) -> Self {
+    pub fn new(
+        policy: &str,
+        plan: &Plan,
+        time: Duration,
+        mixed: &Seen,
+        alone: Option<&Seen>,
+    ) -> Self {
         let count = |ends: &[End]| {
             mixed
                 .samples
@@ -128,10 +149,7 @@
         let together = millis(&first_tokens(short(&mixed.samples)), 0.95);
         let apart = alone.map(|seen| millis(&first_tokens(short(&seen.samples)), 0.95));
         let alone_leaked = alone.map_or(0, |seen| seen.leaked_tokens);
-        let whole = mixed
-            .samples
-            .iter()
-            .filter(|sample| sample.end == End::Whole);
+        let goodput = goodput(mixed, time);
         Self {
             policy: policy.to_owned(),
             short_weight: plan.short_weight,
@@ -142,7 +160,7 @@
             leaked_bytes: (mixed.leaked_tokens + alone_leaked) * KV_BYTES_PER_TOKEN,
             wrong_answers: count(&[End::Wrong]),
             short_blocking_p95: apart.map(|apart| together / apart.max(f64::EPSILON)),
-            goodput_tokens: whole.map(|sample| sample.tokens).sum(),
+            goodput_tokens_per_second: goodput,
             buckets: BANDS
                 .iter()
                 .map(|end| Bucket::new(*end, &mixed.samples))
--- a/bin/filbertctl/src/cmd/load/run.rs
+++ b/bin/filbertctl/src/cmd/load/run.rs
@@ -30,6 +30,8 @@
     pub first_token: Option<Duration>,
     /// Time of the prefill on an idle engine.
     pub floor: Duration,
+    /// When the request ended, from the start of the run.
+    pub ended: Duration,
 }
 
 /// All that was seen in one run.
@@ -88,6 +90,7 @@
                 end: seen.end,
                 first_token: seen.first_token,
                 floor,
+                ended: started.elapsed(),
             };
             samples.lock().push(sample);
             ended.fetch_add(1, Ordering::Relaxed);
--- a/bin/filbertctl/src/cmd/slopes.rs
+++ b/bin/filbertctl/src/cmd/slopes.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use serde::Serialize;
 use serde_json::json;
-use wire::{Heartbeat, PoolEntry, datagram};
+use wire::{Heartbeat, datagram};
 
 use super::arguments::{Arguments, Error};
 
@@ -163,8 +163,8 @@
     ]
 }
 
-fn pool_entry(number: u64) -> PoolEntry {
-    PoolEntry {
+fn pool_entry(number: u64) -> wire::Pool {
+    wire::Pool {
         domain: Domain::from("domain-1"),
         model: Model::from(format!("model-{number}")),
         host: Host::from("entry-host-0001"),
--- a/bin/filbertctl/src/fleet/lists.rs
+++ b/bin/filbertctl/src/fleet/lists.rs
@@ -46,7 +46,7 @@
 }
 
 fn usage(fleet: &Fleet) -> Value {
-    let engine = |member: &super::EngineMember| {
+    let engine = |member: &super::Engine| {
         json!({
             "name": member.name,
             "domain": member.domain,
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use fakes::Server;
-use fakes::engine::{Engine, Setting};
+use fakes::engine::{self, Setting};
 use fakes::platform::Platform;
 use fakes::service::Service;
 use node::settings::Settings;
@@ -29,7 +29,7 @@
 
 /// One failure domain of a fleet.
 #[derive(Clone, Debug)]
-pub struct DomainPlan {
+pub struct Domain {
     /// Its name.
     pub name: String,
     /// Entry hosts.
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// The failure domains.
-    pub domains: Vec<DomainPlan>,
+    pub domains: Vec<Domain>,
     /// Number of workspaces.
     pub workspaces: usize,
     /// Engines run this many times faster than real ones.
@@ -73,7 +73,7 @@
     /// A fleet of `domains`, each with the given numbers of nodes, engines and service workers.
     #[must_use]
     pub fn new(domains: &[(&str, usize, usize, usize)], scale: u32) -> Self {
-        let domain = |(name, nodes, engines, services): &(&str, usize, usize, usize)| DomainPlan {
+        let domain = |(name, nodes, engines, services): &(&str, usize, usize, usize)| Domain {
             name: (*name).to_owned(),
             nodes: *nodes,
             engines: *engines,
@@ -107,13 +107,13 @@
 }
 
 /// A running engine stand-in.
-pub struct EngineMember {
+pub struct Engine {
     /// Its name in the usage list.
     pub name: String,
     /// Its failure domain.
     pub domain: String,
     /// The stand-in.
-    pub engine: Engine,
+    pub engine: engine::Engine,
     /// Where it listens.
     pub server: Server,
 }
@@ -127,7 +127,7 @@
     /// Where the platform listens.
     pub platform_server: Server,
     /// The engines.
-    pub engines: Vec<EngineMember>,
+    pub engines: Vec<Engine>,
     /// The plain service; all its workers share one count of executions.
     pub service: Service,
     /// Where the service's workers listen, with their failure domains.
@@ -172,12 +172,13 @@
         Ok(fleet)
     }
 
-    async fn start_domain(&mut self, domain: &DomainPlan) -> io::Result<()> {
+    async fn start_domain(&mut self, domain: &Domain) -> io::Result<()> {
         for number in 0..domain.engines {
             let name = format!("{}-engine-{number}", domain.name);
-            let engine = Engine::new(self.plan.engine(&name), self.platform.weights.clone());
+            let engine =
+                engine::Engine::new(self.plan.engine(&name), self.platform.weights.clone());
             let server = engine.serve().await?;
-            self.engines.push(EngineMember {
+            self.engines.push(Engine {
                 name,
                 domain: domain.name.clone(),
                 engine,
--- a/bin/filbertctl/tests/suite/failures.rs
+++ b/bin/filbertctl/tests/suite/failures.rs
@@ -144,3 +144,25 @@
     let seen = asked.await.expect("no panic");
     assert_eq!(seen.end, End::Whole, "{}", seen.error);
 }
+
+/// One of the two nodes owns the pool; the other one's requests wait there.
+#[rstest]
+#[tokio::test]
+async fn requests_that_wait_survive_the_death_of_the_other_node(#[values(0, 1)] killed: usize) {
+    let mut fleet = crate::fleet(&[("charnwood", 2, 1, 0)], 10).await;
+    let address = fleet.callers()[1 - killed];
+    let key = fleet::key(0);
+    let prompts: Vec<_> = (0..6).map(|seed| scenario::prompt(20_000, seed)).collect();
+    let asked = prompts
+        .iter()
+        .map(|prompt| caller::complete(address, ask(&key, prompt)));
+    let asked = futures_util::future::join_all(asked);
+    let kill = async {
+        eventually("prefill", || fleet.kv_used() > 0).await;
+        fleet.kill(killed);
+    };
+    let (seen, ()) = tokio::join!(asked, kill);
+    for seen in seen {
+        assert_eq!(seen.end, End::Whole, "{}", seen.error);
+    }
+}
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of model engines.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,91 +9,29 @@
 use kernel::attempt::Fault;
 use kernel::ledger::Holding;
 use kernel::reconcile::Order;
-use kernel::request::{Attempt, Incarnation};
+use kernel::request::Attempt;
 use kernel::schedule::Report;
 use platform::http::{Call, Connection, Error as HttpError, document};
-use serde::{Deserialize, Serialize};
 use volo_http::body::Body;
 use volo_http::client::sse::{SseExt, SseReader};
 
-use crate::{CacheEvent, Client, Engine, Error, Event, Kind, Part, Start, Stream};
+use crate::{CacheEvent, Client, Engine, Error, Event, Kind, Part, Start, Stream, body};
 
 /// Time limit of short calls.
 const LIMIT: Duration = Duration::from_secs(1);
 
-/// Body of a request for a stream or a part.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct StartBody {
-    /// The attempt, as text.
-    pub attempt: Attempt,
-    /// The node that holds the stream.
-    pub holder: Incarnation,
-    /// The model that must be loaded.
-    pub model: String,
-    /// The adapter to use.
-    #[serde(default)]
-    pub adapter: Option<String>,
-    /// The prompt.
-    pub prompt: String,
-    /// Handle of the KV cache before the prompt.
-    #[serde(default)]
-    pub context: Option<String>,
-    /// Answer tokens to leave out.
-    #[serde(default)]
-    pub delivered: u64,
-    /// Most tokens of the answer.
-    pub answer_tokens: u64,
-    /// Order in the engine: a lower number goes first.
-    pub priority: u64,
-    /// Most prompt tokens in one step.
-    pub chunk_tokens: u64,
-}
-
-/// Body of a request to free an attempt's memory.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Free {
-    /// The attempt.
-    pub attempt: Attempt,
-}
-
-/// What an engine holds for an attempt.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct HoldingEntry {
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The node that holds it.
-    pub holder: Incarnation,
-    /// Whether the node's connection is open.
-    pub connected: bool,
-    /// KV memory held, in tokens.
-    pub kv_tokens: u64,
-}
-
-/// Body of an order.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct OrderBody {
-    /// The model to load.
-    pub model: String,
-    /// The version to load.
-    pub version: String,
-    /// The adapters to load.
-    pub adapters: Vec<String>,
-    /// The fencing number.
-    pub fence: u64,
-}
-
 struct Remote {
     connection: Connection,
 }
 
 impl Remote {
     fn body(start: &Start<'_>) -> Result<bytes::Bytes, Error> {
-        let body = StartBody {
+        let body = body::Start {
             attempt: start.attempt,
             holder: start.holder,
             model: start.model.to_owned(),
             adapter: start.adapter.map(str::to_owned),
-            prompt: start.prompt.to_owned(),
+            prompt: Cow::Borrowed(start.prompt),
             context: start.context.map(str::to_owned),
             delivered: start.delivered,
             answer_tokens: start.answer_tokens,
@@ -155,14 +94,14 @@
     }
 
     async fn free(&self, attempt: Attempt) -> Result<(), Error> {
-        let body = Free { attempt };
+        let body = body::Free { attempt };
         let _: serde_json::Value = self.connection.post("/v1/free", &body, LIMIT).await?;
         Ok(())
     }
 
     async fn holdings(&self) -> Result<Vec<Holding>, Error> {
-        let entries: Vec<HoldingEntry> = self.get("/v1/streams").await?;
-        let holding = |entry: HoldingEntry| Holding {
+        let entries: Vec<body::Holding> = self.get("/v1/streams").await?;
+        let holding = |entry: body::Holding| Holding {
             holder: entry.holder,
             attempt: entry.attempt,
             connected: entry.connected,
@@ -179,7 +118,7 @@
     }
 
     async fn order(&self, order: &Order, fence: u64) -> Result<(), Error> {
-        let body = OrderBody {
+        let body = body::Order {
             model: order.model.to_string(),
             version: order.version.clone(),
             adapters: order.adapters.clone(),
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(matches!((kind.connect)(address), filbertstage_endpoint::Client::Engine(_)));
 //! ```
 
+pub mod body;
 mod engine;
 mod service;
 
@@ -27,8 +28,6 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-pub use engine::{Free, HoldingEntry, OrderBody, StartBody};
-
 quick_error! {
     /// Why an endpoint did not do what it was asked.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use endpoint::{HoldingEntry, StartBody, Usage};
+use endpoint::{Usage, body};
 use kernel::cost::{self, Digest};
 use kernel::request::{Attempt, Incarnation};
 use tokio::sync::mpsc::UnboundedSender;
@@ -64,7 +64,7 @@
 
 /// Streams, memory and cache of one engine.
 pub struct Batch {
-    queued: Vec<(StartBody, bool, UnboundedSender<Item>, u64)>,
+    queued: Vec<(body::Start<'static>, bool, UnboundedSender<Item>, u64)>,
     runs: Vec<Run>,
     held: BTreeMap<Attempt, Held>,
     cache: Cache,
@@ -97,7 +97,7 @@
     pub fn submit(
         &mut self,
         setting: &Setting,
-        body: StartBody,
+        body: body::Start<'static>,
         part: bool,
         sender: UnboundedSender<Item>,
     ) -> Result<(), Refusal> {
@@ -124,8 +124,8 @@
     }
 
     /// What attempts hold, and for whom.
-    pub fn holdings(&self) -> Vec<HoldingEntry> {
-        let entry = |(attempt, held): (&Attempt, &Held)| HoldingEntry {
+    pub fn holdings(&self) -> Vec<body::Holding> {
+        let entry = |(attempt, held): (&Attempt, &Held)| body::Holding {
             attempt: *attempt,
             holder: held.holder,
             connected: !held.sender.is_closed(),
@@ -216,7 +216,13 @@
         }
     }
 
-    fn start(&mut self, body: &StartBody, part: bool, sender: UnboundedSender<Item>, arrived: u64) {
+    fn start(
+        &mut self,
+        body: &body::Start<'_>,
+        part: bool,
+        sender: UnboundedSender<Item>,
+        arrived: u64,
+    ) {
         let held = Held {
             holder: body.holder,
             kv_tokens: needed(body),
@@ -294,7 +300,7 @@
 }
 
 /// KV memory that a stream or part needs, in tokens.
-fn needed(body: &StartBody) -> u64 {
+fn needed(body: &body::Start<'_>) -> u64 {
     cost::tokens(body.prompt.len()) + body.answer_tokens
 }
 
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use endpoint::{Free, OrderBody, StartBody};
+use endpoint::body;
 use futures_util::stream;
 use kernel::name::{Endpoint, Model};
 use kernel::schedule::Report;
@@ -272,7 +272,7 @@
     ) -> Result<UnboundedReceiver<Item>, Response> {
         let body = request.into_body().into_vec().await;
         let body = body.map_err(|_| error(400, "the body did not arrive whole"))?;
-        let body: StartBody = serde_json::from_slice(&body)
+        let body: body::Start<'static> = serde_json::from_slice(&body)
             .map_err(|reason| error(400, &format!("the body is not a stream: {reason}")))?;
         let (sender, receiver) = unbounded_channel();
         let outcome = self.state.lock().submit(body, part, sender);
@@ -283,7 +283,7 @@
 
     async fn free(self, request: Request) -> Response {
         let body = request.into_body().into_vec().await.unwrap_or_default();
-        let Ok(body) = serde_json::from_slice::<Free>(&body) else {
+        let Ok(body) = serde_json::from_slice::<body::Free>(&body) else {
             return error(400, "the body is not {\"attempt\": ATTEMPT}");
         };
         let losing = {
@@ -324,7 +324,7 @@
 
     async fn order(self, request: Request) -> Response {
         let body = request.into_body().into_vec().await.unwrap_or_default();
-        let Ok(order) = serde_json::from_slice::<OrderBody>(&body) else {
+        let Ok(order) = serde_json::from_slice::<body::Order>(&body) else {
             return error(400, "the body is not an order");
         };
         if !self.state.lock().accepts(&order) {
@@ -334,7 +334,7 @@
         json(200, &serde_json::json!({}))
     }
 
-    async fn load(self, order: OrderBody) {
+    async fn load(self, order: body::Order) {
         self.weights.read().await;
         let mut state = self.state.lock();
         state.loading = false;
@@ -355,7 +355,7 @@
 
     fn submit(
         &mut self,
-        body: StartBody,
+        body: body::Start<'static>,
         part: bool,
         sender: tokio::sync::mpsc::UnboundedSender<Item>,
     ) -> Result<(), Refusal> {
@@ -370,7 +370,7 @@
         self.batch.submit(&self.setting, body, part, sender)
     }
 
-    fn accepts(&mut self, order: &OrderBody) -> bool {
+    fn accepts(&mut self, order: &body::Order) -> bool {
         if self.setting.checks_fencing && order.fence < self.fence {
             return false;
         }
--- a/crates/kernel/src/schedule/engine.rs
+++ b/crates/kernel/src/schedule/engine.rs
@@ -10,7 +10,7 @@
 use crate::name::{Endpoint, Model};
 use crate::request::Attempt;
 
-use super::job::Job;
+use super::job::{Job, Waiting};
 
 /// Prefix hints kept for one engine.
 const HINTS: usize = 65_536;
@@ -49,6 +49,9 @@
 #[derive(Clone, Debug)]
 struct Flight {
     rank: Instant,
+    deadline: Instant,
+    prompt_tokens: u64,
+    answer_tokens: u64,
     prefill_left: f64,
     kv_tokens: u64,
     prefix: Vec<u64>,
@@ -57,6 +60,25 @@
     first_token: bool,
 }
 
+/// A first token time beside its prediction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Measured {
+    pub prompt_tokens: u64,
+    pub took: Duration,
+    pub predicted: Duration,
+}
+
+/// A started request that has no first token yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Pending {
+    pub rank: Instant,
+    pub deadline: Instant,
+    pub prompt_tokens: u64,
+    pub answer_tokens: u64,
+    /// Prefill until its first token, its own included, if nothing goes before it any more.
+    pub ahead: Duration,
+}
+
 /// One engine with the requests that were granted to it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -164,6 +186,18 @@
         self.prefill_time(tokens)
     }
 
+    /// The started requests that have no first token yet.
+    pub(super) fn pending(&self) -> impl Iterator<Item = Pending> {
+        let unserved = self.flights.values().filter(|flight| !flight.first_token);
+        unserved.map(|flight| Pending {
+            rank: flight.rank,
+            deadline: flight.deadline,
+            prompt_tokens: flight.prompt_tokens,
+            answer_tokens: flight.answer_tokens,
+            ahead: self.ahead(flight.rank),
+        })
+    }
+
     /// Requests in prefill on the engine whose virtual deadline is after `rank`.
     #[must_use]
     pub fn prefilling_behind(&self, rank: Instant) -> u32 {
@@ -196,10 +230,20 @@
 
     /// Counts `job` as started.
     #[allow(clippy::cast_precision_loss)]
-    pub fn start(&mut self, now: Instant, rank: Instant, job: &Job, kv: u64, predicted: Duration) {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        waiting: &Waiting,
+        job: &Job,
+        kv: u64,
+        predicted: Duration,
+    ) {
         self.advance(now);
         let flight = Flight {
-            rank,
+            rank: waiting.rank,
+            deadline: waiting.deadline,
+            prompt_tokens: job.prompt_tokens,
+            answer_tokens: job.answer_tokens,
             prefill_left: self.uncached(now, job) as f64,
             kv_tokens: kv,
             prefix: job.prefix.clone(),
@@ -210,8 +254,8 @@
         self.flights.insert(job.attempt, flight);
     }
 
-    /// Notes the first token of `attempt`; returns the time it took and what was predicted.
-    pub fn first_token(&mut self, now: Instant, attempt: Attempt) -> Option<(Duration, Duration)> {
+    /// Notes the first token of `attempt`; returns what it shows about the predictions.
+    pub(super) fn first_token(&mut self, now: Instant, attempt: Attempt) -> Option<Measured> {
         self.advance(now);
         let flight = self.flights.get_mut(&attempt)?;
         if flight.first_token {
@@ -219,7 +263,11 @@
         }
         flight.first_token = true;
         flight.prefill_left = 0.0;
-        let measured = (now.since(flight.started), flight.predicted);
+        let measured = Measured {
+            prompt_tokens: flight.prompt_tokens,
+            took: now.since(flight.started),
+            predicted: flight.predicted,
+        };
         let prefix = flight.prefix.clone();
         self.hint(now, &prefix);
         Some(measured)
--- a/crates/kernel/src/schedule/job.rs
+++ b/crates/kernel/src/schedule/job.rs
@@ -67,4 +67,6 @@
     pub rank: Instant,
     pub arrived: Instant,
     pub deadline: Instant,
+    /// Prefill time on the best idle engine, when the job was queued.
+    pub floor: Duration,
 }
--- a/crates/kernel/src/schedule/mod.rs
+++ b/crates/kernel/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod gang;
 mod job;
 mod pool;
+mod predict;
 mod rank;
 
 pub use engine::{Engine, Report};
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -13,14 +13,11 @@
 use super::engine::{Engine, Report};
 use super::gang::{self, Earmark};
 use super::job::{Grant, Job, Waiting};
+use super::predict::Correction;
 use super::rank::{Clock, Setting, WHOLE_STEP};
 
 /// Most jobs that wait in one pool.
 const MOST_WAITING: usize = 10_000;
-/// Weight of a new measurement in the correction of predictions.
-const CORRECTION_WEIGHT: f64 = 0.05;
-/// Part of the remaining time that a prediction may fill.
-const SAFE_PART: f64 = 0.9;
 /// Share of the pool that one workspace may use while others wait.
 const FLOOD_SHARE: f64 = 0.5;
 
@@ -44,13 +41,13 @@
 
 /// Waiting requests and engines of one model.
 pub struct Pool {
-    setting: Setting,
+    pub(super) setting: Setting,
     policy: Box<dyn Policy>,
-    engines: Vec<Engine>,
-    waiting: Vec<Waiting>,
+    pub(super) engines: Vec<Engine>,
+    pub(super) waiting: Vec<Waiting>,
     clock: Clock,
     earmark: Earmark,
-    correction: f64,
+    pub(super) correction: Correction,
 }
 
 impl Pool {
@@ -69,7 +66,7 @@
             waiting: Vec::new(),
             clock: Clock::default(),
             earmark: Earmark::default(),
-            correction: 1.0,
+            correction: Correction::default(),
         }
     }
 
@@ -180,99 +177,11 @@
             rank,
             arrived: now,
             deadline: now + job.remaining,
+            floor,
             job,
         }
     }
 
-    /// The time in which the best idle engine would prefill the job.
-    #[must_use]
-    #[allow(clippy::cast_precision_loss)]
-    pub fn floor(&self, now: Instant, job: &Job) -> Duration {
-        self.engines
-            .iter()
-            .map(|engine| engine.prefill_time(engine.uncached(now, job) as f64))
-            .min()
-            .unwrap_or_default()
-    }
-
-    /// Predicts the time until the first token of a job that arrives now.
-    #[must_use]
-    pub fn predict(&self, now: Instant, job: &Job) -> Duration {
-        let floor = self.floor(now, job);
-        let rank = now.before(job.waited) + floor.mul_f64(self.setting.stretch());
-        (self.wait_before(rank) + floor).mul_f64(self.correction)
-    }
-
-    /// Predicted time until the pool has worked off everything that is ahead of `rank`.
-    fn wait_before(&self, rank: Instant) -> Duration {
-        let ahead = self.waiting.iter().filter(|other| other.rank <= rank);
-        let queued: Duration = ahead.map(|other| self.work(&other.job)).sum();
-        let started: Duration = self.engines.iter().map(|engine| engine.ahead(rank)).sum();
-        let least = self.engines.iter().map(|engine| engine.ahead(rank)).min();
-        let fluid = (queued + started).div_f64(self.engine_count());
-        if queued.is_zero() {
-            least.unwrap_or_default()
-        } else {
-            fluid
-        }
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn work(&self, job: &Job) -> Duration {
-        self.engines
-            .first()
-            .map(|engine| engine.prefill_time(job.prompt_tokens as f64))
-            .unwrap_or_default()
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn engine_count(&self) -> f64 {
-        self.engines.len().max(1) as f64
-    }
-
-    /// Checks that the new job ends in time and makes no admitted job late.
-    fn check_time(&self, now: Instant, new: &Waiting) -> Result<(), Refusal> {
-        let started: Duration = self
-            .engines
-            .iter()
-            .map(|engine| engine.ahead(new.rank))
-            .sum();
-        let mut ahead = started.div_f64(self.engine_count());
-        let mut placed = false;
-        let order = self.waiting.iter().filter(|other| other.rank <= new.rank);
-        for other in order {
-            ahead += self.work(&other.job).div_f64(self.engine_count());
-        }
-        let own = self.finish_after(ahead, now, &new.job);
-        if own > new.job.remaining.mul_f64(SAFE_PART) {
-            return Err(Refusal::Overloaded(own.saturating_sub(new.job.remaining)));
-        }
-        let shift = self.work(&new.job).div_f64(self.engine_count());
-        for other in self.waiting.iter().filter(|other| other.rank > new.rank) {
-            if !placed {
-                ahead += shift;
-                placed = true;
-            }
-            let end = self.finish_after(ahead, now, &other.job);
-            let limit = other.deadline.since(now).mul_f64(SAFE_PART);
-            if end > limit && end.saturating_sub(shift) <= limit {
-                return Err(Refusal::Overloaded(shift));
-            }
-            ahead += self.work(&other.job).div_f64(self.engine_count());
-        }
-        Ok(())
-    }
-
-    /// Time until `job` ends when the pool first works for `ahead`.
-    fn finish_after(&self, ahead: Duration, now: Instant, job: &Job) -> Duration {
-        let answer = self
-            .engines
-            .first()
-            .map(|engine| engine.answer_time(job.answer_tokens))
-            .unwrap_or_default();
-        (ahead + self.floor(now, job)).mul_f64(self.correction) + answer
-    }
-
     /// Grants engines to waiting jobs, best rank first, until none can start.
     pub fn assign(&mut self, now: Instant) -> Vec<Grant> {
         for engine in &mut self.engines {
@@ -314,13 +223,8 @@
         let chosen = self.policy.choose(&candidates)?;
         let predicted = candidates[chosen].predicted;
         let engine = &mut self.engines[indexes[chosen]];
-        engine.start(
-            now,
-            waiting.rank,
-            &waiting.job,
-            waiting.job.kv_tokens(),
-            predicted,
-        );
+        let kv = waiting.job.kv_tokens();
+        engine.start(now, &waiting, &waiting.job, kv, predicted);
         let endpoints = vec![engine.report().endpoint.clone()];
         let part = waiting.job.prompt_tokens;
         Some(self.grant(now, &waiting, endpoints, part, predicted))
@@ -350,7 +254,7 @@
                 let candidate = Candidate {
                     endpoint: engine.report().endpoint.clone(),
                     predicted: (engine.ahead(waiting.rank) + own + blocking)
-                        .mul_f64(self.correction),
+                        .mul_f64(self.correction.of(waiting.job.prompt_tokens)),
                     delays: own * engine.prefilling_behind(waiting.rank),
                     backlog_tokens: engine.backlog_tokens() as u64,
                     running: engine.running(),
@@ -386,11 +290,12 @@
         let mut part = waiting.job.clone();
         part.prompt_tokens = shape.part_tokens;
         part.prefix.clear();
-        let predicted = self.floor(now, &waiting.job).mul_f64(self.correction);
+        let correction = self.correction.of(waiting.job.prompt_tokens);
+        let predicted = waiting.floor.mul_f64(correction);
         let mut endpoints = Vec::new();
         for index in members {
             let engine = &mut self.engines[*index];
-            engine.start(now, waiting.rank, &part, shape.part_kv, predicted);
+            engine.start(now, waiting, &part, shape.part_kv, predicted);
             endpoints.push(engine.report().endpoint.clone());
         }
         self.grant(now, waiting, endpoints, shape.part_tokens, predicted)
@@ -425,18 +330,10 @@
 
     /// Notes the first token of `attempt` and corrects later predictions by it.
     pub fn first_token(&mut self, now: Instant, attempt: Attempt) {
-        const LEAST: f64 = 0.5;
-        const MOST: f64 = 4.0;
         for engine in &mut self.engines {
-            let Some((took, predicted)) = engine.first_token(now, attempt) else {
-                continue;
-            };
-            if predicted.is_zero() {
-                continue;
+            if let Some(measured) = engine.first_token(now, attempt) {
+                self.correction.learn(measured);
             }
-            let ratio = (took.as_secs_f64() / predicted.as_secs_f64()) * self.correction;
-            let ratio = ratio.clamp(LEAST, MOST);
-            self.correction += (ratio - self.correction) * CORRECTION_WEIGHT;
         }
     }
 
--- a/crates/kernel/src/schedule/rank.rs
+++ b/crates/kernel/src/schedule/rank.rs
@@ -17,6 +17,8 @@
 const STRETCH_SHORT_FIRST: f64 = 8.5;
 /// Furthest that a workspace's virtual clock may run ahead.
 const LEAD_LONGEST: Duration = Duration::from_secs(30);
+/// Longest prompt that counts as short in an engine, in tokens.
+pub(super) const LONG_TOKENS: u64 = 8_000;
 /// Leaves the size of steps to the engine.
 pub(super) const WHOLE_STEP: u64 = 1 << 20;
 /// Virtual clocks kept before idle ones are dropped.
@@ -64,8 +66,7 @@
         clippy::cast_sign_loss
     )]
     pub fn chunk(&self, tokens: u64) -> u64 {
-        const LONG: u64 = 8_000;
-        if tokens <= LONG {
+        if tokens <= LONG_TOKENS {
             return WHOLE_STEP;
         }
         let even = self.chunk_even as f64;
--- a/crates/kernel/tests/schedule.rs
+++ b/crates/kernel/tests/schedule.rs
@@ -240,6 +240,41 @@
     assert_eq!(pool.engines()[0].running(), 1);
 }
 
+#[test]
+fn a_prompt_goes_where_its_prefix_is_cached_and_old_or_lost_hints_only_cost_time() {
+    let now = Instant::from_millis(1_000);
+    let hashes: Vec<u64> = (0..40).collect();
+    let repeated = |sequence| Job {
+        prefix: hashes.clone(),
+        ..job(sequence, "a", 41_000)
+    };
+    let granted = |pool: &mut Pool, now, sequence| {
+        pool.enqueue(now, repeated(sequence)).unwrap();
+        let grant = pool.assign(now).remove(0);
+        pool.end(now, grant.attempt);
+        (grant.endpoints[0].as_str().to_owned(), grant.predicted)
+    };
+    let mut pool = pool(3, "first_token");
+    let (_, cold) = granted(&mut pool, now, 1);
+    pool.engine_mut(&Endpoint::from("e2"))
+        .unwrap()
+        .hint(now, &hashes);
+    let (endpoint, warm) = granted(&mut pool, now, 2);
+    assert_eq!(endpoint, "e2");
+    assert!(warm * 10 < cold, "{warm:?} against {cold:?}");
+    let later = now + Duration::from_mins(10);
+    assert_eq!(
+        granted(&mut pool, later, 3).1,
+        cold,
+        "an old hint is not believed"
+    );
+    pool.engine_mut(&Endpoint::from("e2"))
+        .unwrap()
+        .hint(later, &hashes);
+    pool.engine_mut(&Endpoint::from("e2")).unwrap().forget_all();
+    assert_eq!(granted(&mut pool, later, 4).1, cold, "nor one after a gap");
+}
+
 /// A long randomised run: engines come and go, requests end or are withdrawn at any time.
 #[rstest]
 fn a_random_run_keeps_memory_bounded_and_no_engine_idle(#[values(1, 2, 3, 4)] seed: u64) {
--- a/crates/node/src/api/answer.rs
+++ b/crates/node/src/api/complete.rs
@@ -1,12 +1,8 @@
-//! Completions: admission, and answers as one JSON document or as server-sent events.
+//! Completions: admission, running, and deferring.
 
-use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use endpoint::Usage;
-use futures_util::stream;
 use http::{HeaderMap, StatusCode};
 use kernel::admission::{self, Context, Target};
 use kernel::cost::{self, Digest};
@@ -15,18 +11,16 @@
 use kernel::request::Id;
 use kernel::resume::Token;
 use kernel::share::Need;
-use serde_json::{Value, json};
-use tokio::sync::mpsc::Receiver;
+use serde_json::json;
 use volo_http::request::Request;
-use volo_http::response::Response;
-use volo_http::server::IntoResponse;
-use volo_http::server::response::sse::{Event, Sse};
 use wire::Kept;
 
 use super::auth::Caller;
+use super::document::Shape;
 use super::prompt::{Kind, Prompt};
+use super::stream::{Seal, collect, respond};
 use super::{Answer, auth, error, json_response, prompt, read_body};
-use crate::serve::{self, Item, Work};
+use crate::serve::{self, Work};
 use crate::shared::{Running, Shared};
 use crate::{deferred, limits};
 
@@ -48,7 +42,7 @@
     let caller = auth::caller(&shared, &headers)?;
     let running = Running::enter(&shared).ok_or(Refusal::Overloaded(Duration::from_secs(1)))?;
     let body = read_body(&shared, body).await?;
-    let prompt = prompt::read(kind, &body)?;
+    let mut prompt = prompt::read(kind, &body)?;
     let admitted = admit(&shared, &caller, &headers, &prompt)?;
     let need = Need {
         tokens: admitted.prompt_tokens + prompt.answer_tokens,
@@ -66,7 +60,7 @@
         &caller.workspace,
         id,
         arrived,
-        &prompt,
+        &mut prompt,
         &admitted,
         &trace,
     );
@@ -163,12 +157,13 @@
     Ok(token.delivered)
 }
 
+/// The work that a request asks for; takes the prompt's text.
 fn work(
     shared: &Shared,
     workspace: &Workspace,
     id: Id,
     arrived: Instant,
-    prompt: &Prompt,
+    prompt: &mut Prompt,
     admitted: &Admitted,
     trace: &str,
 ) -> Work {
@@ -182,7 +177,7 @@
         adapter: prompt.adapter.clone(),
         prefix: cost::prefix(&prompt.text),
         prompt_tokens: admitted.prompt_tokens,
-        prompt: prompt.text.clone(),
+        prompt: std::mem::take(&mut prompt.text),
         answer_tokens: prompt.answer_tokens,
         delivered: admitted.delivered,
         arrived,
@@ -232,7 +227,7 @@
 /// Runs a deferred request and returns its status and body.
 pub(crate) async fn run_deferred(shared: &Arc<Shared>, kept: &Kept) -> (u16, String) {
     let kind = Kind::of_path(&kept.path);
-    let prompt = match prompt::read(kind, kept.body.as_bytes()) {
+    let mut prompt = match prompt::read(kind, kept.body.as_bytes()) {
         Ok(prompt) => prompt,
         Err(refusal) => {
             return (
@@ -255,7 +250,7 @@
         &kept.workspace,
         kept.request,
         now,
-        &prompt,
+        &mut prompt,
         &admitted,
         "",
     );
@@ -277,230 +272,3 @@
         ),
     }
 }
-
-/// Makes the identifiers with which a caller continues a stream.
-struct Seal {
-    key: String,
-    prompt: u64,
-}
-
-impl Seal {
-    fn event_id(&self, request: Id, delivered: u64) -> String {
-        let token = Token {
-            request: request.to_string(),
-            prompt: self.prompt,
-            delivered,
-            endpoint: String::new(),
-        };
-        token.seal(self.key.as_bytes())
-    }
-}
-
-/// What all documents of an answer have in common.
-struct Shape {
-    id: Id,
-    created: u64,
-    model: String,
-    kind: Kind,
-    /// Most tokens to answer.
-    limit: u64,
-}
-
-/// An answer that arrived whole.
-struct Whole {
-    text: String,
-    usage: Usage,
-}
-
-async fn respond(shape: Shape, seal: Seal, prompt: &Prompt, mut items: Receiver<Item>) -> Response {
-    let id = shape.id;
-    if !prompt.stream {
-        return match collect(items).await {
-            Ok(whole) => {
-                let mut response = json_response(StatusCode::OK, &shape.whole(&whole));
-                error::stamp(&mut response, id);
-                response
-            }
-            Err(refusal) => error::response(&refusal, Some(id)),
-        };
-    }
-    // The status line waits for the first item, so that a refusal is an error status.
-    let first = match items.recv().await {
-        Some(Item::Refused(refusal)) => return error::response(&refusal, Some(id)),
-        Some(item) => item,
-        None => return error::response(&lost(), Some(id)),
-    };
-    let events = events(shape, seal, prompt.include_usage, first, items);
-    let mut response = Sse::new(events).into_response();
-    error::stamp(&mut response, id);
-    response
-}
-
-fn lost() -> Refusal {
-    Refusal::Exhausted(1, "the request was lost".to_owned())
-}
-
-async fn collect(mut items: Receiver<Item>) -> Result<Whole, Refusal> {
-    let mut text = String::new();
-    while let Some(item) = items.recv().await {
-        match item {
-            Item::Token(_, token) => text.push_str(&token),
-            Item::End(usage) => return Ok(Whole { text, usage }),
-            Item::Refused(refusal) => return Err(refusal),
-        }
-    }
-    Err(lost())
-}
-
-fn events(
-    shape: Shape,
-    seal: Seal,
-    include_usage: bool,
-    first: Item,
-    mut items: Receiver<Item>,
-) -> impl futures_util::Stream<Item = Result<Event, Infallible>> {
-    let mut ready = VecDeque::new();
-    let mut ended = push(&mut ready, &shape, &seal, include_usage, first);
-    stream::poll_fn(move |context| {
-        use std::task::Poll;
-        while ready.is_empty() && !ended {
-            match items.poll_recv(context) {
-                Poll::Ready(Some(item)) => {
-                    ended = push(&mut ready, &shape, &seal, include_usage, item);
-                }
-                Poll::Ready(None) => {
-                    ended = push(
-                        &mut ready,
-                        &shape,
-                        &seal,
-                        include_usage,
-                        Item::Refused(lost()),
-                    );
-                }
-                Poll::Pending => return Poll::Pending,
-            }
-        }
-        Poll::Ready(ready.pop_front().map(Ok))
-    })
-}
-
-/// Adds the events of an item; returns true when it is the last.
-fn push(
-    ready: &mut VecDeque<Event>,
-    shape: &Shape,
-    seal: &Seal,
-    include_usage: bool,
-    item: Item,
-) -> bool {
-    match item {
-        Item::Token(index, text) => {
-            let id = seal.event_id(shape.id, index + 1);
-            ready.push_back(
-                Event::new()
-                    .id(id)
-                    .data(shape.chunk(&text, index == 0).to_string()),
-            );
-            false
-        }
-        Item::End(usage) => {
-            ready.push_back(Event::new().data(shape.last_chunk(usage, include_usage).to_string()));
-            ready.push_back(Event::new().data("[DONE]"));
-            true
-        }
-        Item::Refused(refusal) => {
-            ready.push_back(Event::new().data(error::body(&refusal, Some(shape.id)).to_string()));
-            true
-        }
-    }
-}
-
-fn usage_json(usage: Usage) -> Value {
-    json!({
-        "prompt_tokens": usage.prompt_tokens,
-        "completion_tokens": usage.answer_tokens,
-        "total_tokens": usage.prompt_tokens + usage.answer_tokens,
-        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
-    })
-}
-
-impl Shape {
-    fn document(&self, object: &str, choice: &Value) -> Value {
-        let prefix = match self.kind {
-            Kind::Chat => "chatcmpl",
-            Kind::Text => "cmpl",
-        };
-        json!({
-            "id": format!("{prefix}-{}", self.id),
-            "object": object,
-            "created": self.created,
-            "model": self.model,
-            "choices": [choice],
-        })
-    }
-
-    /// Why the answer ended, in the words of the interface.
-    const fn finish_reason(&self, usage: Usage) -> &'static str {
-        if usage.answer_tokens >= self.limit {
-            "length"
-        } else {
-            "stop"
-        }
-    }
-
-    fn whole(&self, whole: &Whole) -> Value {
-        let finish = self.finish_reason(whole.usage);
-        let (object, choice) = match self.kind {
-            Kind::Chat => {
-                let message = json!({ "role": "assistant", "content": whole.text });
-                (
-                    "chat.completion",
-                    json!({ "index": 0, "message": message, "finish_reason": finish }),
-                )
-            }
-            Kind::Text => (
-                "text_completion",
-                json!({ "index": 0, "text": whole.text, "finish_reason": finish }),
-            ),
-        };
-        let mut document = self.document(object, &choice);
-        document["usage"] = usage_json(whole.usage);
-        document
-    }
-
-    fn chunk(&self, text: &str, first: bool) -> Value {
-        match self.kind {
-            Kind::Chat if first => {
-                let delta = json!({ "role": "assistant", "content": text });
-                self.chunk_with(&json!({ "index": 0, "delta": delta, "finish_reason": null }))
-            }
-            Kind::Chat => {
-                let delta = json!({ "content": text });
-                self.chunk_with(&json!({ "index": 0, "delta": delta, "finish_reason": null }))
-            }
-            Kind::Text => {
-                self.chunk_with(&json!({ "index": 0, "text": text, "finish_reason": null }))
-            }
-        }
-    }
-
-    fn chunk_with(&self, choice: &Value) -> Value {
-        let object = match self.kind {
-            Kind::Chat => "chat.completion.chunk",
-            Kind::Text => "text_completion",
-        };
-        self.document(object, choice)
-    }
-
-    fn last_chunk(&self, usage: Usage, include_usage: bool) -> Value {
-        let finish = self.finish_reason(usage);
-        let choice = match self.kind {
-            Kind::Chat => json!({ "index": 0, "delta": {}, "finish_reason": finish }),
-            Kind::Text => json!({ "index": 0, "text": "", "finish_reason": finish }),
-        };
-        let mut document = self.chunk_with(&choice);
-        if include_usage {
-            document["usage"] = usage_json(usage);
-        }
-        document
-    }
-}
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -1,10 +1,12 @@
 //! The HTTP interface for callers and operators.
 
-mod answer;
 mod auth;
+mod complete;
+mod document;
 mod error;
 mod prompt;
 mod service;
+mod stream;
 
 use std::sync::Arc;
 
@@ -23,13 +25,13 @@
 use crate::shared::Shared;
 use crate::{deferred, follow, status, telemetry};
 
-pub(crate) use answer::run_deferred;
+pub(crate) use complete::run_deferred;
 
 /// The routes of a node.
 pub(crate) fn router(shared: &Arc<Shared>) -> Router {
     Router::new()
-        .route("/v1/chat/completions", post(with(shared, answer::chat)))
-        .route("/v1/completions", post(with(shared, answer::text)))
+        .route("/v1/chat/completions", post(with(shared, complete::chat)))
+        .route("/v1/completions", post(with(shared, complete::text)))
         .route("/v1/models", get(with(shared, models)))
         .route(
             "/v1/services/{service}/{call}",
--- /dev/null
+++ b/crates/node/src/api/stream.rs
@@ -0,0 +1,146 @@
+//! Turns the items of a request into one JSON document or into server-sent events.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+
+use futures_util::stream;
+use http::StatusCode;
+use kernel::outcome::Refusal;
+use kernel::request::Id;
+use kernel::resume::Token;
+use tokio::sync::mpsc::Receiver;
+use volo_http::response::Response;
+use volo_http::server::IntoResponse;
+use volo_http::server::response::sse::{Event, Sse};
+
+use super::document::{Shape, Whole};
+use super::prompt::Prompt;
+use super::{error, json_response};
+use crate::serve::Item;
+
+/// Makes the identifiers with which a caller continues a stream.
+pub(super) struct Seal {
+    pub key: String,
+    pub prompt: u64,
+}
+
+impl Seal {
+    fn event_id(&self, request: Id, delivered: u64) -> String {
+        let token = Token {
+            request: request.to_string(),
+            prompt: self.prompt,
+            delivered,
+            endpoint: String::new(),
+        };
+        token.seal(self.key.as_bytes())
+    }
+}
+
+/// Answers a caller with what its request delivers.
+pub(super) async fn respond(
+    shape: Shape,
+    seal: Seal,
+    prompt: &Prompt,
+    mut items: Receiver<Item>,
+) -> Response {
+    let id = shape.id;
+    if !prompt.stream {
+        return match collect(items).await {
+            Ok(whole) => {
+                let mut response = json_response(StatusCode::OK, &shape.whole(&whole));
+                error::stamp(&mut response, id);
+                response
+            }
+            Err(refusal) => error::response(&refusal, Some(id)),
+        };
+    }
+    // The status line waits for the first item, so that a refusal is an error status.
+    let first = match items.recv().await {
+        Some(Item::Refused(refusal)) => return error::response(&refusal, Some(id)),
+        Some(item) => item,
+        None => return error::response(&lost(), Some(id)),
+    };
+    let events = events(shape, seal, prompt.include_usage, first, items);
+    let mut response = Sse::new(events).into_response();
+    error::stamp(&mut response, id);
+    response
+}
+
+fn lost() -> Refusal {
+    Refusal::Exhausted(1, "the request was lost".to_owned())
+}
+
+/// Waits for the whole answer.
+pub(super) async fn collect(mut items: Receiver<Item>) -> Result<Whole, Refusal> {
+    let mut text = String::new();
+    while let Some(item) = items.recv().await {
+        match item {
+            Item::Token(_, token) => text.push_str(&token),
+            Item::End(usage) => return Ok(Whole { text, usage }),
+            Item::Refused(refusal) => return Err(refusal),
+        }
+    }
+    Err(lost())
+}
+
+fn events(
+    shape: Shape,
+    seal: Seal,
+    include_usage: bool,
+    first: Item,
+    mut items: Receiver<Item>,
+) -> impl futures_util::Stream<Item = Result<Event, Infallible>> {
+    let mut ready = VecDeque::new();
+    let mut ended = push(&mut ready, &shape, &seal, include_usage, first);
+    stream::poll_fn(move |context| {
+        use std::task::Poll;
+        while ready.is_empty() && !ended {
+            match items.poll_recv(context) {
+                Poll::Ready(Some(item)) => {
+                    ended = push(&mut ready, &shape, &seal, include_usage, item);
+                }
+                Poll::Ready(None) => {
+                    ended = push(
+                        &mut ready,
+                        &shape,
+                        &seal,
+                        include_usage,
+                        Item::Refused(lost()),
+                    );
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Ready(ready.pop_front().map(Ok))
+    })
+}
+
+/// Adds the events of an item; returns true when it is the last.
+fn push(
+    ready: &mut VecDeque<Event>,
+    shape: &Shape,
+    seal: &Seal,
+    include_usage: bool,
+    item: Item,
+) -> bool {
+    match item {
+        Item::Token(index, text) => {
+            let id = seal.event_id(shape.id, index + 1);
+            ready.push_back(
+                Event::new()
+                    .id(id)
+                    .data(shape.chunk(&text, index == 0).to_string()),
+            );
+            false
+        }
+        Item::End(usage) => {
+            ready.push_back(Event::new().data(shape.last_chunk(usage, include_usage).to_string()));
+            ready.push_back(Event::new().data("[DONE]"));
+            true
+        }
+        Item::Refused(refusal) => {
+            ready.push_back(Event::new().data(error::body(&refusal, Some(shape.id)).to_string()));
+            true
+        }
+    }
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -32,7 +32,7 @@
 
 /// The right to run a granted attempt; ends the flight when it is dropped.
 pub(crate) enum Ticket {
-    Local(LocalTicket),
+    Local(Local),
     Remote(Box<Connection>),
 }
 
@@ -50,13 +50,13 @@
 }
 
 /// A ticket of the pool that this node owns.
-pub(crate) struct LocalTicket {
+pub(crate) struct Local {
     shared: Arc<Shared>,
     model: Model,
     attempt: Attempt,
 }
 
-impl LocalTicket {
+impl Local {
     fn first_token(&self) {
         let now = self.shared.now();
         if let Some(slot) = self.shared.tables.pools.lock().get_mut(&self.model) {
@@ -66,7 +66,7 @@
     }
 }
 
-impl Drop for LocalTicket {
+impl Drop for Local {
     fn drop(&mut self) {
         let now = self.shared.now();
         if let Some(slot) = self.shared.tables.pools.lock().get_mut(&self.model) {
@@ -105,18 +105,15 @@
     request_there(shared, &owner, job).await
 }
 
-async fn request_here(shared: &Arc<Shared>, job: Job) -> Result<(Grant, LocalTicket), Denied> {
+async fn request_here(shared: &Arc<Shared>, job: Job) -> Result<(Grant, Local), Denied> {
     let (receiver, ticket) = enqueue(shared, job).map_err(Denied::Refused)?;
     let grant = receiver.await.map_err(|_| Denied::OwnerLost)?;
     Ok((grant, ticket))
 }
 
-fn enqueue(
-    shared: &Arc<Shared>,
-    job: Job,
-) -> Result<(oneshot::Receiver<Grant>, LocalTicket), Refusal> {
+fn enqueue(shared: &Arc<Shared>, job: Job) -> Result<(oneshot::Receiver<Grant>, Local), Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let ticket = LocalTicket {
+    let ticket = Local {
         shared: Arc::clone(shared),
         model: job.model.clone(),
         attempt: job.attempt,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -8,7 +8,7 @@
 use kernel::prelude::*;
 use kernel::share::Part;
 use tokio::net::UdpSocket;
-use wire::{Heartbeat, PoolEntry, datagram};
+use wire::{Heartbeat, Pool, datagram};
 
 use crate::dispatch::pool_key;
 use crate::peer;
@@ -86,7 +86,7 @@
 }
 
 /// Updates the digests of the own pools and returns those to send.
-fn digests(shared: &Shared, now: Instant, counter: u64) -> Vec<PoolEntry> {
+fn digests(shared: &Shared, now: Instant, counter: u64) -> Vec<Pool> {
     let (live, owned) = {
         let members = shared.tables.members.lock();
         let owned = |model: &Model| members.owner(now, &pool_key(model)).host == shared.host;
@@ -103,7 +103,7 @@
     let pools = shared.tables.pools.lock();
     for (model, slot) in pools.iter().filter(|(model, _)| owned.contains(model)) {
         let digest = slot.pool.digest(now);
-        let entry = PoolEntry {
+        let entry = Pool {
             domain: shared.domain.clone(),
             model: model.clone(),
             host: shared.host.clone(),
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -21,7 +21,6 @@
 use kernel::{journal, lease};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::oneshot;
-use wire::PoolEntry;
 
 use crate::claims::Outbox;
 use crate::deferred::Store;
@@ -55,7 +54,7 @@
     /// 3. Members.
     pub members: Mutex<membership::Table>,
     /// 4. Digests of the fleet's pools.
-    pub digests: Mutex<BTreeMap<(Domain, Model), PoolEntry>>,
+    pub digests: Mutex<BTreeMap<(Domain, Model), wire::Pool>>,
     /// 5. Plan limits.
     pub meter: Mutex<Meter>,
     /// 6. Endpoints of the own failure domain.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -17,12 +17,12 @@
     /// What the sender knows of members, its own entry first.
     pub news: membership::News,
     /// The pools that the sender knows.
-    pub pools: Vec<PoolEntry>,
+    pub pools: Vec<Pool>,
 }
 
 /// The digest of one pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PoolEntry {
+pub struct Pool {
     /// The pool's failure domain.
     pub domain: Domain,
     /// The pool's model.
