--- a/bin/filbertctl/src/fleet/lists.rs
+++ b/bin/filbertctl/src/fleet/lists.rs
@@ -15,8 +15,6 @@
 pub const BOOKING: &str = "book";
 /// A call of the service that may be repeated.
 pub const REPORT: &str = "conditions";
-/// The first workspace.
-pub const WORKSPACE: &str = "workspace-0";
 
 /// The bearer key of workspace number `index`.
 #[must_use]
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 use node::settings::Settings;
 use platform::{Error, Log as _};
 
-pub use lists::{BOOKING, MODEL, REPORT, SERVICE, WORKSPACE, key, key_hash};
+pub use lists::{BOOKING, MODEL, REPORT, SERVICE, key, key_hash};
 pub use member::{Cut, Member};
 pub use roads::Roads;
 
--- a/crates/kernel/src/resume.rs
+++ b/crates/kernel/src/resume.rs
@@ -27,18 +27,13 @@
     pub prompt: u64,
     /// Answer tokens that the caller already has.
     pub delivered: u64,
-    /// The endpoint that ran the stream.
-    pub endpoint: String,
 }
 
 impl Token {
     /// The token as text for an event identifier.
     #[must_use]
     pub fn seal(&self, key: &[u8]) -> String {
-        let plain = format!(
-            "{}/{:x}/{:x}/{}",
-            self.request, self.prompt, self.delivered, self.endpoint
-        );
+        let plain = format!("{}/{:x}/{:x}", self.request, self.prompt, self.delivered);
         let tag = tag(key, plain.as_bytes());
         format!("{}.{}", hex::encode(plain), hex::encode(&tag[..TAG_BYTES]))
     }
@@ -57,13 +52,12 @@
             return Err(Error::Forged);
         }
         let plain = String::from_utf8(plain).map_err(|_| Error::Forged)?;
-        let mut parts = plain.splitn(4, '/');
+        let mut parts = plain.splitn(3, '/');
         let mut part = || parts.next().ok_or(Error::Forged);
         Ok(Self {
             request: part()?.to_owned(),
             prompt: number(part()?)?,
             delivered: number(part()?)?,
-            endpoint: part()?.to_owned(),
         })
     }
 }
--- a/crates/kernel/src/schedule/engine.rs
+++ b/crates/kernel/src/schedule/engine.rs
@@ -137,6 +137,12 @@
             .saturating_sub(self.granted_kv() + self.foreign_kv)
     }
 
+    /// Whether more memory was granted than the engine has, which a pool never does.
+    #[must_use]
+    pub fn overcommitted(&self) -> bool {
+        self.granted_kv() > self.report.kv_total
+    }
+
     fn granted_kv(&self) -> u64 {
         self.flights.values().map(|flight| flight.kv_tokens).sum()
     }
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -364,10 +364,21 @@
         }
     }
 
-    /// Breaks when an engine that could serve a waiting job idles, which must never hold after
-    /// [`Pool::assign`].
+    /// What is wrong with the pool after [`Pool::assign`]; nothing ever should be.
     #[must_use]
-    pub fn idle_while_waiting(&self) -> bool {
+    pub fn violation(&self) -> Option<&'static str> {
+        if self.idle_while_waiting() {
+            return Some("an engine idles while a request that it could serve waits");
+        }
+        let overcommitted = self.engines.iter().any(Engine::overcommitted);
+        if overcommitted && !self.policy.eager() {
+            return Some("an engine was granted more memory than it has");
+        }
+        None
+    }
+
+    /// Whether an engine that could serve a waiting job idles.
+    fn idle_while_waiting(&self) -> bool {
         let idle = |engine: &Engine| engine.running() == 0 && !engine.report().leaving;
         self.waiting.iter().any(|waiting| {
             gang::shape(&self.engines, waiting).is_none()
--- a/crates/kernel/tests/limits.rs
+++ b/crates/kernel/tests/limits.rs
@@ -198,7 +198,6 @@
         request: "1-2".to_owned(),
         prompt: 7,
         delivered: 12,
-        endpoint: "e/1".to_owned(),
     };
     let sealed = token.seal(b"key");
     assert_eq!(Token::open(&sealed, b"key"), Ok(token));
--- a/crates/kernel/tests/schedule.rs
+++ b/crates/kernel/tests/schedule.rs
@@ -312,7 +312,7 @@
             assert!(grant.endpoints.len() <= 4);
             running.insert(grant.attempt.request.sequence, grant);
         }
-        assert!(!pool.idle_while_waiting(), "at request {sequence}");
+        assert_eq!(pool.violation(), None, "at request {sequence}");
         for engine in pool.engines() {
             assert!(engine.kv_free() <= MEMORY);
         }
--- a/crates/node/src/api/stream.rs
+++ b/crates/node/src/api/stream.rs
@@ -30,7 +30,6 @@
             request: request.to_string(),
             prompt: self.prompt,
             delivered,
-            endpoint: String::new(),
         };
         token.seal(self.key.as_bytes())
     }
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -9,11 +9,11 @@
 use kernel::prelude::*;
 use kernel::request::{Attempt, Id};
 use sha2::{Digest, Sha256};
-use wire::{Frame, Refused};
+use wire::Frame;
 
 use crate::claims::Written;
 use crate::shared::Shared;
-use crate::{follow, peer};
+use crate::{follow, invariant, peer};
 
 /// Time between two looks at a claim that another attempt holds.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
@@ -148,7 +148,7 @@
         .await
     {
         Ok(Frame::Answer(status, body)) => Ok(Answer { status, body }),
-        Ok(Frame::Refused(refused)) => Err(refused.refusal),
+        Ok(Frame::Refused(refusal)) => Err(refusal),
         Ok(_) | Err(_) => Err(unanswered()),
     }
 }
@@ -167,7 +167,7 @@
     };
     match run(shared, call).await {
         Ok(answer) => Frame::Answer(answer.status, answer.body),
-        Err(refusal) => Frame::Refused(Refused { refusal }),
+        Err(refusal) => Frame::Refused(refusal),
     }
 }
 
@@ -303,6 +303,16 @@
     }
 }
 
+/// A call that may not be repeated leaves only under the claim that won.
+fn check_won(shared: &Shared, call: &Call, key: &str, attempt: Attempt) {
+    let now = shared.now();
+    let body = call.body_digest();
+    let verdict = shared.tables.book.lock().verdict(now, key, &body, attempt);
+    invariant::check(verdict == Verdict::Won, || {
+        format!("{key} is sent while its claim is {verdict:?}")
+    });
+}
+
 /// Sends a claimed call; only an endpoint that got nothing is followed by another.
 async fn send(
     shared: &Arc<Shared>,
@@ -317,6 +327,7 @@
         if left.is_zero() {
             break;
         }
+        check_won(shared, call, key, attempt);
         let service = &services[(first + number) % services.len()];
         let body = bytes::Bytes::from(call.body.clone());
         match service.call(&call.name, &call.key, body, left).await {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -16,7 +16,7 @@
 use kernel::schedule::{Grant, Job, Pool};
 use tokio::sync::oneshot;
 use wire::stream::Connection;
-use wire::{Error, Frame, Refused};
+use wire::{Error, Frame};
 
 use crate::invariant;
 use crate::peer;
@@ -159,7 +159,7 @@
         match connection.receive(SILENCE).await {
             Ok(Frame::Waiting) => {}
             Ok(Frame::Grant(grant)) => return Ok((grant, Ticket::Remote(Box::new(connection)))),
-            Ok(Frame::Refused(refused)) => return Err(Denied::Refused(refused.refusal)),
+            Ok(Frame::Refused(refusal)) => return Err(Denied::Refused(refusal)),
             Ok(_) | Err(_) => return Err(Denied::OwnerLost),
         }
     }
@@ -174,9 +174,7 @@
     let (mut granted, ticket) = match enqueue(shared, job) {
         Ok(waiting) => waiting,
         Err(refusal) => {
-            connection
-                .send(&Frame::Refused(Refused { refusal }))
-                .await?;
+            connection.send(&Frame::Refused(refusal)).await?;
             return Err(Error::Closed);
         }
     };
@@ -215,9 +213,9 @@
                 slot.pool.end(now, attempt);
             }
         }
-        let pool = &slot.pool;
-        invariant::check(!pool.idle_while_waiting(), || {
-            "an engine idles while a request that it could serve waits".to_owned()
+        let violation = slot.pool.violation();
+        invariant::check(violation.is_none(), || {
+            violation.unwrap_or_default().to_owned()
         });
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -15,7 +15,7 @@
 use wire::Frame;
 
 use crate::shared::Shared;
-use crate::{claims, peer};
+use crate::{claims, invariant, peer};
 
 /// The stream of list changes.
 pub(crate) const LISTS: &str = "lists";
@@ -38,6 +38,8 @@
     lists: AtomicU64,
     claims: AtomicU64,
     leases: AtomicU64,
+    /// The first offset that is not in force.
+    published: AtomicU64,
 }
 
 fn fresh(mark: &AtomicU64, now: Instant, age: Duration) -> bool {
@@ -157,6 +159,14 @@
 /// Puts the folded lists in force.
 fn publish(shared: &Shared, fold: &kernel::fold::Fold) {
     let state = fold.state();
+    let before = shared
+        .tables
+        .progress
+        .published
+        .swap(state.next, Ordering::SeqCst);
+    invariant::check(before <= state.next, || {
+        format!("the lists went back from offset {before} to {}", state.next)
+    });
     let table = Arc::new(lists::Table::new(&state.plans, &state.usage));
     *shared.tables.lists.write() = table;
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -11,7 +11,7 @@
 use rand::RngCore;
 use tokio::net::{TcpListener, TcpStream};
 use wire::stream::Connection;
-use wire::{Error, Frame, Refused};
+use wire::{Error, Frame};
 
 use crate::shared::{Network, Shared};
 use crate::{call, deferred, dispatch, limits, serve, status};
@@ -166,7 +166,7 @@
             let what = "the frame is not a request".to_owned();
             let remedy = "run the same version on all nodes".to_owned();
             let refusal = Refusal::Invalid(what, remedy);
-            Frame::Refused(Refused { refusal })
+            Frame::Refused(refusal)
         }
     };
     connection.send(&answer).await
--- a/crates/node/src/serve/forward.rs
+++ b/crates/node/src/serve/forward.rs
@@ -11,7 +11,7 @@
 use kernel::schedule::Digest;
 use tokio::sync::mpsc;
 use wire::stream::Connection;
-use wire::{Error, Forward, Frame, Refused};
+use wire::{Error, Forward, Frame};
 
 use super::stream::deliver;
 use super::{Ended, Item, Work, start};
@@ -123,7 +123,7 @@
                     cached_tokens,
                 });
             }
-            Ok(Frame::Refused(refused)) => return Err(Ended::Refused(refused.refusal)),
+            Ok(Frame::Refused(refusal)) => return Err(Ended::Refused(refusal)),
             Ok(_) => return Err(Ended::Fault(Fault::Truncated, None)),
             Err(Error::Silent) => return Err(Ended::Fault(Fault::Silent, None)),
             Err(_) => return Err(Ended::Fault(Fault::Broken, None)),
@@ -141,7 +141,7 @@
     let Some(place) = place else {
         const RETRY_AFTER: Duration = Duration::from_secs(1);
         let refusal = Refusal::Unavailable("the node takes no work".to_owned(), RETRY_AFTER);
-        return connection.send(&Frame::Refused(Refused { refusal })).await;
+        return connection.send(&Frame::Refused(refusal)).await;
     };
     let mut items = start(shared, forwarded_work(shared, forward), place);
     loop {
@@ -153,7 +153,7 @@
                     return connection.send(&end).await;
                 }
                 Some(Item::Refused(refusal)) => {
-                    return connection.send(&Frame::Refused(Refused { refusal })).await;
+                    return connection.send(&Frame::Refused(refusal)).await;
                 }
                 None => return Err(Error::Closed),
             },
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -67,13 +67,6 @@
     pub limit: Limit,
 }
 
-/// A refusal together with whether another node may try the request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Refused {
-    /// The refusal.
-    pub refusal: Refusal,
-}
-
 /// A call of a plain service that another failure domain is to make.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Call {
@@ -122,7 +115,7 @@
     /// The ticket's attempt may start.
     Grant(Grant),
     /// The ticket or the forwarded request was refused.
-    Refused(Refused),
+    Refused(Refusal),
     /// The attempt's first token arrived.
     FirstToken,
     /// The attempt has ended.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 
 use quick_error::quick_error;
 
-pub use frame::{Borrow, Call, Forward, Frame, Heartbeat, Kept, Pool, Refused};
+pub use frame::{Borrow, Call, Forward, Frame, Heartbeat, Kept, Pool};
 
 quick_error! {
     /// Why a frame was not sent or not accepted.
