--- a/bin/filbertctl/src/cmd/load/plot.rs
+++ b/bin/filbertctl/src/cmd/load/plot.rs
@@ -20,7 +20,11 @@
             (1_000.0..2_500_000.0_f64).log_scale(),
             (1.0..200_000.0_f64).log_scale(),
         )?;
-    chart.configure_mesh().draw()?;
+    chart
+        .configure_mesh()
+        .x_desc("prompt, tokens")
+        .y_desc("p95 first token, ms")
+        .draw()?;
     for (index, run) in report.runs.iter().enumerate() {
         let filled = run.buckets.iter().filter(|bucket| bucket.requests > 0);
         let points: Vec<_> = filled
@@ -31,13 +35,17 @@
             })
             .collect();
         let color = Palette99::pick(index).to_rgba();
-        chart.draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?;
+        chart
+            .draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?
+            .label(run.policy.as_str())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
         chart.draw_series(
             points
                 .iter()
                 .map(|point| Circle::new(*point, 4, color.filled())),
         )?;
     }
+    chart.configure_series_labels().border_style(BLACK).draw()?;
     area.present()?;
     Ok(())
 }
--- a/crates/node/src/serve/mod.rs
+++ b/crates/node/src/serve/mod.rs
@@ -23,6 +23,8 @@
 
 /// Items that may wait for a slow caller.
 const SINK_ITEMS: usize = 256;
+/// Longest wait for a caller to take the last item.
+const LAST_ITEM: Duration = Duration::from_secs(1);
 /// The node ends a request this long before the caller's time limit.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
 
@@ -144,8 +146,8 @@
         Err(_) => Item::Refused(Refusal::TimedOut(Outcome::Failed)),
     };
     finish(shared, &work, &last);
-    // A caller that is gone needs no last item.
-    let _ = sink.send(last).await;
+    // A caller that is gone needs no last item, and one that does not read is not waited for.
+    let _ = tokio::time::timeout(LAST_ITEM, sink.send(last)).await;
 }
 
 /// A refusal that says `not_run` only when nothing was sent.
