--- a/bin/filbertctl/tests/suite/failures.rs
+++ b/bin/filbertctl/tests/suite/failures.rs
@@ -25,6 +25,7 @@
 #[case::connections_cut(Faults::Cut)]
 #[case::connections_silent(Faults::Silence)]
 #[case::end_marker_cut(Faults::Truncate)]
+#[case::loses_cache_events(Faults::LoseCacheEvents)]
 #[case::stands_still(Faults::Stall(Duration::from_secs(4)))]
 #[tokio::test]
 async fn an_answer_goes_on_elsewhere_when_its_engine_fails_in_the_middle(#[case] fault: Faults) {
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -146,6 +146,7 @@
             }
             Faults::Silence => self.runs.iter_mut().for_each(|run| run.silent = true),
             Faults::Truncate => self.cut_next_end = true,
+            Faults::LoseCacheEvents => self.cache.lose_events(),
             _ => {}
         }
     }
--- a/crates/fakes/src/engine/cache.rs
+++ b/crates/fakes/src/engine/cache.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Loses the events that have not been read, which readers see as a gap.
+    pub fn lose_events(&mut self) {
+        self.events.clear();
+        self.sequence += 1;
+    }
+
     /// The events after number `after` that are still kept.
     pub fn events(&self, after: u64) -> Vec<CacheEvent> {
         let newer = self.events.iter().filter(|event| event.sequence > after);
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -100,6 +100,8 @@
     Truncate,
     /// The engine stands still for this time.
     Stall(Duration),
+    /// Events of the prefix cache are lost.
+    LoseCacheEvents,
     /// Frees take effect without an answer for this time.
     LoseFreeAnswers(Duration),
 }
@@ -179,7 +181,9 @@
             }
             Faults::Stall(time) => state.stalled_until = Some(now + time),
             Faults::LoseFreeAnswers(time) => state.losing_until = Some(now + time),
-            Faults::Cut | Faults::Silence | Faults::Truncate => state.batch.disturb(fault),
+            Faults::Cut | Faults::Silence | Faults::Truncate | Faults::LoseCacheEvents => {
+                state.batch.disturb(fault);
+            }
         }
     }
 
