Tests for three faults found while measuring and reading

- A request that had started and finds no engine any more is failed, never not_run.
- A deferred request counts against the plan's limits.

--- a/bin/filbertctl/tests/suite/failures.rs
+++ b/bin/filbertctl/tests/suite/failures.rs
@@ -167,3 +167,18 @@
         assert_eq!(seen.end, End::Whole, "{}", seen.error);
     }
 }
+
+#[tokio::test]
+async fn a_request_that_had_started_is_never_refused_as_not_run() {
+    let fleet = small(1, 1).await;
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(3_000, 9));
+    let struck = &fleet;
+    let mut strike_once = |tokens: usize| {
+        if tokens == 3 {
+            strike(struck, Faults::Die(Duration::from_mins(1)));
+        }
+    };
+    let seen = caller::complete_watched(address, ask(&key, &prompt), &mut strike_once).await;
+    assert_eq!(seen.end, End::Failed, "{}", seen.error);
+}
--- a/bin/filbertctl/tests/suite/serving.rs
+++ b/bin/filbertctl/tests/suite/serving.rs
@@ -217,3 +217,21 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+#[tokio::test]
+async fn a_deferred_request_counts_against_the_plan() {
+    let mut plan = fleet::Plan::new(&[("charnwood", 1, 1, 0)], 4);
+    plan.concurrency = 1;
+    let fleet = fleet::Fleet::start(plan).await.expect("the fleet starts");
+    let address = fleet.callers()[0];
+    let (key, prompt) = (fleet::key(0), scenario::prompt(60_000, 4));
+    let running = caller::complete(address, ask(&key, &prompt));
+    let deferred = async {
+        eventually("prefill", || fleet.kv_used() > 0).await;
+        caller::defer(address, ask(&key, "Is the loop groomed?")).await
+    };
+    let (running, (end, body)) = tokio::join!(running, deferred);
+    assert_eq!(running.end, End::Whole, "{}", running.error);
+    assert_eq!(end, End::NotRun);
+    assert!(body.contains("limit_reached"), "{body}");
+}
--- a/crates/kernel/tests/schedule.rs
+++ b/crates/kernel/tests/schedule.rs
@@ -181,6 +181,27 @@
     assert!(refusal.retry_after().is_some());
 }
 
+#[test]
+fn short_prompts_are_refused_before_they_make_a_started_long_one_late() {
+    let now = Instant::from_millis(1_000);
+    let mut pool = pool(1, "first_token");
+    let mut long = job(1, "a", 100_000);
+    long.remaining = Duration::from_secs(12);
+    pool.enqueue(now, long).unwrap();
+    assert_eq!(pool.assign(now).len(), 1);
+    let mut admitted = 0;
+    for sequence in 10..110 {
+        let short = job(sequence, &format!("w{sequence}"), 1_500);
+        admitted += u32::from(pool.enqueue(now, short).is_ok());
+        pool.assign(now);
+    }
+    // The long prompt needs 10 s of its 12 s, and each short one takes 0.15 s.
+    assert!(
+        (1..=10).contains(&admitted),
+        "{admitted} short prompts were let in"
+    );
+}
+
 #[test]
 fn a_gang_reserves_all_its_engines_or_none() {
     let now = Instant::from_millis(1_000);
