After a reading of the whole change: one look-up of a client by name, no copy of jobs that do not start

- The client of an endpoint was looked up in three places; Shared::client serves them.
- Each look at a waiting job copied it with its prefix hashes, also when it did not start.
- The heartbeat took the lists while it held the members, against the stated order of locks.
- The hash of a text, and the units of printed figures, stood in several places.
Behaviour and checks stay as they are.

--- a/bin/filbertctl/src/cmd/cost.rs
+++ b/bin/filbertctl/src/cmd/cost.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 
 use super::arguments::{Arguments, Error};
+use super::figures::{micros, millis};
 use super::{EXIT_FAILED, runtime};
 use crate::caller::{self, Ask, End};
 use crate::fleet::{self, MODEL};
@@ -259,15 +260,6 @@
     })
 }
 
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
-#[allow(clippy::cast_precision_loss)]
-fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
-    histogram.value_at_quantile(quantile) as f64 / 1_000.0
-}
-
 fn read(pid: u32, name: &str) -> Result<String, Error> {
     let path = format!("/proc/{pid}/{name}");
     std::fs::read_to_string(&path)
--- a/bin/filbertctl/src/cmd/load/report.rs
+++ b/bin/filbertctl/src/cmd/load/report.rs
@@ -6,14 +6,12 @@
 use kernel::cost::{BANDS, Band};
 use serde::Serialize;
 
+use super::super::figures::{KV_BYTES_PER_TOKEN, micros, millis};
 use super::run::{Sample, Seen};
 use crate::caller::End;
 use crate::fleet::Plan;
 use crate::scenario::SHORT_TOKENS;
 
-/// KV memory of one token, in bytes.
-const KV_BYTES_PER_TOKEN: u64 = 128 * 1_024;
-
 /// Percentiles of the time to the first token, in milliseconds.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Percentiles {
@@ -62,10 +60,6 @@
     Histogram::new_with_max(LARGEST, 3).expect("the bounds of the histogram are constant")
 }
 
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// Times to the first token, in microseconds.
 fn first_tokens<'a>(samples: impl Iterator<Item = &'a Sample>) -> Histogram<u64> {
     let mut histogram = histogram();
@@ -75,11 +69,6 @@
     histogram
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
-    histogram.value_at_quantile(quantile) as f64 / 1_000.0
-}
-
 fn short(samples: &[Sample]) -> impl Iterator<Item = &Sample> {
     samples
         .iter()
--- a/bin/filbertctl/src/cmd/mod.rs
+++ b/bin/filbertctl/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod demo;
 mod explain;
+mod figures;
 mod load;
 mod operator;
 mod publish;
--- a/bin/filbertctl/src/cmd/soak/tally.rs
+++ b/bin/filbertctl/src/cmd/soak/tally.rs
@@ -7,11 +7,9 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::super::figures::KV_BYTES_PER_TOKEN;
 use crate::caller::End;
 
-/// KV memory of one token, in bytes.
-const KV_BYTES_PER_TOKEN: u64 = 128 * 1_024;
-
 /// What a soak run found.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Report {
--- a/crates/fakes/src/text.rs
+++ b/crates/fakes/src/text.rs
@@ -10,9 +10,7 @@
 /// The digest of a prompt.
 #[must_use]
 pub fn digest(prompt: &str) -> u64 {
-    let mut digest = Digest::default();
-    digest.update(prompt.as_bytes());
-    digest.value()
+    Digest::of(prompt)
 }
 
 /// Token number `index` of the answer to the prompt with this digest.
--- a/crates/kernel/src/cost.rs
+++ b/crates/kernel/src/cost.rs
@@ -42,6 +42,14 @@
 }
 
 impl Digest {
+    /// The hash of `text`.
+    #[must_use]
+    pub fn of(text: &str) -> u64 {
+        let mut digest = Self::default();
+        digest.update(text.as_bytes());
+        digest.value()
+    }
+
     /// Continues from the value of an earlier digest.
     #[must_use]
     pub const fn resume(value: u64) -> Self {
--- a/crates/kernel/src/schedule/pool.rs
+++ b/crates/kernel/src/schedule/pool.rs
@@ -214,13 +214,15 @@
     }
 
     fn start(&mut self, now: Instant, index: usize) -> Option<Grant> {
-        let waiting = self.waiting[index].clone();
-        if let Some(shape) = gang::shape(&self.engines, &waiting) {
-            let members = self.earmark.gather(now, &self.engines, &waiting, shape)?;
+        let waiting = &self.waiting[index];
+        if let Some(shape) = gang::shape(&self.engines, waiting) {
+            let members = self.earmark.gather(now, &self.engines, waiting, shape)?;
+            let waiting = waiting.clone();
             return Some(self.start_gang(now, &waiting, shape, &members));
         }
-        let (indexes, candidates) = self.candidates(now, &waiting);
+        let (indexes, candidates) = self.candidates(now, waiting);
         let chosen = self.policy.choose(&candidates)?;
+        let waiting = self.waiting[index].clone();
         let predicted = candidates[chosen].predicted;
         let engine = &mut self.engines[indexes[chosen]];
         let kv = waiting.job.kv_tokens();
--- a/crates/node/src/api/complete.rs
+++ b/crates/node/src/api/complete.rs
@@ -130,9 +130,7 @@
             "use a model of /v1/models".to_owned(),
         ));
     }
-    let mut digest = Digest::default();
-    digest.update(prompt.text.as_bytes());
-    let digest = digest.value();
+    let digest = Digest::of(&prompt.text);
     Ok(Admitted {
         prompt_tokens,
         digest,
@@ -236,11 +234,9 @@
             );
         }
     };
-    let mut digest = Digest::default();
-    digest.update(prompt.text.as_bytes());
     let admitted = Admitted {
         prompt_tokens: cost::tokens(prompt.text.len()),
-        digest: digest.value(),
+        digest: Digest::of(&prompt.text),
         delivered: 0,
         limit: kept.remaining,
     };
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -87,10 +87,10 @@
 
 /// Updates the digests of the own pools and returns those to send.
 fn digests(shared: &Shared, now: Instant, counter: u64) -> Vec<Pool> {
+    let lists = shared.tables.lists();
     let (live, owned) = {
         let members = shared.tables.members.lock();
         let owned = |model: &Model| members.owner(now, &pool_key(model)).host == shared.host;
-        let lists = shared.tables.lists();
         let models = lists
             .usage()
             .models
--- a/crates/node/src/repair.rs
+++ b/crates/node/src/repair.rs
@@ -76,10 +76,7 @@
 }
 
 async fn send(shared: &Shared, order: &Order, fence: u64) {
-    let lists = shared.tables.lists();
-    let mut entries = lists.endpoints(&shared.domain);
-    let entry = entries.find(|entry| entry.name.as_str() == order.endpoint.as_str());
-    if let Some(Client::Engine(engine)) = entry.and_then(|entry| shared.clients.get(entry))
+    if let Some(Client::Engine(engine)) = shared.client(&order.endpoint)
         && let Err(error) = engine.order(order, fence).await
     {
         log::warn!(
--- a/crates/node/src/serve/stream.rs
+++ b/crates/node/src/serve/stream.rs
@@ -55,11 +55,7 @@
 
 /// The client of an engine in the usage list.
 fn engine(shared: &Shared, name: &Endpoint) -> Result<Arc<dyn Engine>, Ended> {
-    let lists = shared.tables.lists();
-    let entry = lists
-        .endpoints(&shared.domain)
-        .find(|entry| entry.name.as_str() == name.as_str());
-    match entry.and_then(|entry| shared.clients.get(entry)) {
+    match shared.client(name) {
         Some(Client::Engine(engine)) => Ok(engine),
         _ => Err(Ended::Fault(Fault::Unreachable, Some(name.clone()))),
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// The client of an endpoint of this failure domain, if the usage list names it.
+    pub fn client(&self, name: &Endpoint) -> Option<Client> {
+        let lists = self.tables.lists();
+        let mut entries = lists.endpoints(&self.domain);
+        let entry = entries.find(|entry| entry.name.as_str() == name.as_str())?;
+        self.clients.get(entry)
+    }
+
     /// Runs `decide` with the node's random generator.
     pub fn with_random<T>(&self, decide: impl FnOnce(&mut SmallRng) -> T) -> T {
         decide(&mut self.random.lock())
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -195,13 +195,7 @@
 }
 
 async fn free_one(shared: Arc<Shared>, endpoint: Endpoint, attempt: Attempt) {
-    let client = {
-        let lists = shared.tables.lists();
-        let mut entries = lists.endpoints(&shared.domain);
-        let entry = entries.find(|entry| entry.name.as_str() == endpoint.as_str());
-        entry.and_then(|entry| shared.clients.get(entry))
-    };
-    let Some(Client::Engine(engine)) = client else {
+    let Some(Client::Engine(engine)) = shared.client(&endpoint) else {
         // The endpoint is not listed any more: it is gone with all it held.
         shared.tables.ledger.lock().confirm(&endpoint, attempt);
         return;
