--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -55,7 +55,11 @@
             .known
             .get(&entry.identity())
             .map_or(0, |known| known.running);
-        let distance = if entry.domain == *domain { 0.0 } else { DISTANCE };
+        let distance = if entry.domain == *domain {
+            0.0
+        } else {
+            DISTANCE
+        };
         (f64::from(running) + distance) / f64::from(entry.slots.max(1))
     }
 
--- a/crates/kernel/src/catalogue/directory.rs
+++ b/crates/kernel/src/catalogue/directory.rs
@@ -9,8 +9,9 @@
 
 /// Time after an outage of the store for which an entry that lapsed meanwhile may come back.
 ///
-/// The platform promises entries of live endpoints within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// Live endpoints write about every 1.2 s. An endpoint that leaves right after the outage must get
+/// nothing more 2 s later, so the grace ends before that.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
 
 /// What an endpoint says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,6 +135,13 @@
         lapsed
     }
 
+    /// When [`Directory::expire`] next has something to drop.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let records = self.records.values();
+        records.filter_map(|record| record.lapses).min()
+    }
+
     /// The entry of `name`.
     #[must_use]
     pub fn get(&self, name: &Endpoint) -> Option<&Entry> {
--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -12,8 +12,7 @@
 use crate::outlier::Standing;
 
 /// Names a load: the host's life and a count of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LoadId {
     /// The life of the host that placed it.
     pub holder: u64,
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -123,18 +123,16 @@
     }
 
     /// Weighs an engine for reading a part, unless that harms streams that run there.
-    fn candidate<'a>(
-        &self,
-        engine: &'a Engine,
-        ask: &Ask,
-        part_ms: f64,
-    ) -> Option<Candidate<'a>> {
+    fn candidate<'a>(&self, engine: &'a Engine, ask: &Ask, part_ms: f64) -> Option<Candidate<'a>> {
         let slots = self.speed.profile().slots as usize;
         if engine.helping() >= slots {
             return None;
         }
         let backlog = engine.backlog_ms(self.now);
-        let pass = engine.pass_ms(self.speed, ask.prompt.min(self.speed.profile().memory_tokens));
+        let pass = engine.pass_ms(
+            self.speed,
+            ask.prompt.min(self.speed.profile().memory_tokens),
+        );
         let tightest = engine.tightest();
         if let Some(pause) = tightest
             && pass + backlog + part_ms > pause.as_secs_f64() * 1_000.0 * PAUSE_SHARE
@@ -154,7 +152,11 @@
         if engine.domain != *self.domain {
             cost += DOMAIN_MS;
         }
-        let rank = if tight_ask { engine.rank } else { 1.0 - engine.rank };
+        let rank = if tight_ask {
+            engine.rank
+        } else {
+            1.0 - engine.rank
+        };
         cost += rank * RANK_MS;
         let waiting_pass = if tightest.is_some() { pass / 2.0 } else { 0.0 };
         Some(Candidate {
@@ -201,7 +203,9 @@
         part_ms: f64,
     ) -> Plan {
         let reserved: u64 = reserves.iter().sum();
-        let pass = first.engine.pass_ms(self.speed, ask.prompt - reserved.min(ask.prompt));
+        let pass = first
+            .engine
+            .pass_ms(self.speed, ask.prompt - reserved.min(ask.prompt));
         let slowest = helpers.iter().map(|helper| helper.ready_ms);
         let read_ms = slowest.fold(first.ready_ms, f64::max);
         let stride = u64::from(self.speed.profile().stride.max(1));
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -101,8 +101,7 @@
         log::info!("event=configuration version={version} routes={routes}");
         if let Some(current) = self.known.configuration() {
             let services = current.services.iter();
-            let engines =
-                services.filter_map(|(name, entry)| Some((name, entry.engine.as_ref()?)));
+            let engines = services.filter_map(|(name, entry)| Some((name, entry.engine.as_ref()?)));
             self.placer.set_services(engines);
         }
         self.refresh_engines();
@@ -121,17 +120,36 @@
                 }
                 self.take_endpoints(reading, whole, now);
             }
-            let now = self.clock.now();
-            for name in self.known.directory(|directory| directory.expire(now)) {
-                log::info!("event=endpoint_gone endpoint={name} reason=\"did not come back\"");
-            }
-            self.refresh_engines();
+            self.expire();
             if cursor.failing_since.is_none() {
-                sleep(ENDPOINTS_PERIOD).await;
+                self.rest().await;
             }
         }
     }
 
+    /// Drops entries that lapsed and did not come back.
+    fn expire(&self) {
+        let now = self.clock.now();
+        for name in self.known.directory(|directory| directory.expire(now)) {
+            log::info!("event=endpoint_gone endpoint={name} reason=\"did not come back\"");
+        }
+        self.refresh_engines();
+    }
+
+    /// Waits until the entries are read again, and drops those that lapse meanwhile in time.
+    async fn rest(&self) {
+        let until = self.clock.now() + ENDPOINTS_PERIOD;
+        loop {
+            let expiry = self.known.directory(|directory| directory.next_expiry());
+            let next = expiry.map_or(until, |expiry| expiry.min(until));
+            sleep(next.since(self.clock.now())).await;
+            if next == until {
+                return;
+            }
+            self.expire();
+        }
+    }
+
     fn take_endpoints(&self, reading: Reading, whole: bool, now: Instant) {
         let mut entries = Vec::new();
         for fact in reading.facts {
@@ -204,10 +222,13 @@
                 Some(from) => self.store.changes(cursor.topic, from, wait).await,
             }
         };
-        let limit = if whole { ANSWER_TIMEOUT * 2 } else { wait + ANSWER_TIMEOUT };
+        let limit = if whole {
+            ANSWER_TIMEOUT * 2
+        } else {
+            wait + ANSWER_TIMEOUT
+        };
         let read = timeout(limit, call).await;
-        let read =
-            read.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
+        let read = read.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
         match read {
             Ok(reading) => {
                 cursor.next = Some(reading.next);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
@@ -23,6 +23,7 @@
 
 use crate::body::{Body, Broken};
 use crate::clock::Clock;
+use crate::headers::refusal;
 use crate::pipeline::{self, Pipeline};
 use crate::transport;
 
@@ -40,9 +41,23 @@
     pipeline: Arc<Pipeline>,
     clock: Clock,
     running: AtomicUsize,
-    leaving: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
 }
 
+/// How far a host has gone towards its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Takes connections and requests.
+    Serving,
+    /// Takes requests, and closes each connection after its next answer.
+    Leaving,
+    /// Closes idle connections and refuses what still comes: it might not end in time.
+    Closing,
+}
+
+/// Time after which a client may come back, over another connection, to another host.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+
 /// What one connection is doing.
 struct Activity {
     running: usize,
@@ -105,7 +120,7 @@
             pipeline,
             clock,
             running: AtomicUsize::new(0),
-            leaving: watch::Sender::new(false),
+            stage: watch::Sender::new(Stage::Serving),
         }
     }
 
@@ -115,9 +130,9 @@
         self.running.load(Ordering::SeqCst)
     }
 
-    /// Closes each connection after its next answer from now on.
-    pub fn leave(&self) {
-        self.leaving.send_replace(true);
+    /// Goes on to the next stage of ending.
+    pub fn enter(&self, stage: Stage) {
+        self.stage.send_replace(stage);
     }
 
     /// Accepts connections until the task ends.
@@ -164,6 +179,10 @@
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
+            () = self.closing() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         };
         if let Err(error) = ended {
             log::debug!("event=connection_ended error={error}");
@@ -194,14 +213,26 @@
         }
     }
 
+    /// Returns when connections are to end.
+    async fn closing(&self) {
+        let mut stage = self.stage.subscribe();
+        // The sender lives as long as the front.
+        let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+    }
+
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
         busy: Busy,
     ) -> Result<Response<Counted>, Infallible> {
-        let pipeline = Arc::clone(&self.pipeline);
-        let mut response = pipeline::handle(pipeline, request).await;
-        if *self.leaving.borrow() {
+        let mut response = if *self.stage.borrow() == Stage::Closing {
+            let reason = "this host is about to end: send the request to another one";
+            let after = Some(ELSEWHERE_RETRY);
+            refusal(StatusCode::SERVICE_UNAVAILABLE, after, reason)
+        } else {
+            pipeline::handle(Arc::clone(&self.pipeline), request).await
+        };
+        if *self.stage.borrow() != Stage::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -143,7 +143,9 @@
         let now = self.clock.now();
         let addresses: Vec<_> = {
             let peers = self.peers.lock();
-            let told = peers.values().filter(|peer| now.since(peer.heard) < FORGOTTEN);
+            let told = peers
+                .values()
+                .filter(|peer| now.since(peer.heard) < FORGOTTEN);
             told.map(|peer| peer.address).collect()
         };
         if addresses.is_empty() {
@@ -216,7 +218,9 @@
                 holder: Some(frame.holder),
                 heard: now,
             };
-            peers.insert(host.clone(), peer).and_then(|peer| peer.holder)
+            peers
+                .insert(host.clone(), peer)
+                .and_then(|peer| peer.holder)
         };
         if before != Some(frame.holder) {
             log::info!("event=host_heard host={host} address={from}");
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -149,19 +149,23 @@
 
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Response<Body>> {
     let whole = Limited::new(body, limit).collect().await;
-    whole.map(http_body_util::Collected::to_bytes).map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            let reason = "the body is larger than the limit: send less";
-            refusal(StatusCode::PAYLOAD_TOO_LARGE, None, reason)
-        } else {
-            let reason = "the body cannot be read: send it with its length or in whole chunks";
-            refusal(StatusCode::BAD_REQUEST, None, reason)
-        }
-    })
+    whole
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let reason = "the body is larger than the limit: send less";
+                refusal(StatusCode::PAYLOAD_TOO_LARGE, None, reason)
+            } else {
+                let reason = "the body cannot be read: send it with its length or in whole chunks";
+                refusal(StatusCode::BAD_REQUEST, None, reason)
+            }
+        })
 }
 
 fn host_of(headers: &HeaderMap, uri: &Uri) -> Option<String> {
-    let named = headers.get(http::header::HOST).and_then(|value| value.to_str().ok());
+    let named = headers
+        .get(http::header::HOST)
+        .and_then(|value| value.to_str().ok());
     let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str))?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     Some(name.to_owned())
@@ -175,7 +179,11 @@
 
 fn denied(denied: Denied) -> Response<Body> {
     match denied {
-        Denied::NoRoute => refusal(StatusCode::NOT_FOUND, None, "no route has this host and path"),
+        Denied::NoRoute => refusal(
+            StatusCode::NOT_FOUND,
+            None,
+            "no route has this host and path",
+        ),
         Denied::NoKey => {
             let reason = "the key is missing or unknown: send a valid one";
             refusal(StatusCode::UNAUTHORIZED, None, reason)
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -123,7 +123,9 @@
         let answered = pipeline.dialect.answered(id, head.status, &head.headers);
         if !answered.echoed {
             // The connection is dropped with the answer, which belongs to another request.
-            return Err(Failure::Uncertain("the answer is not to this request".to_owned()));
+            return Err(Failure::Uncertain(
+                "the answer is not to this request".to_owned(),
+            ));
         }
         let (head, body) = exchange.collect(ANSWER_BYTES).await?;
         Ok((answered, head, body))
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::follow::Follower;
-use crate::front::Front;
+use crate::front::{Front, Stage};
 use crate::hosts::Hosts;
 use crate::known::Known;
 use crate::pipeline::Pipeline;
@@ -39,9 +39,9 @@
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Time after SIGTERM for which new connections still come: the balancer asks once a second and
 /// stops after two misses.
-const STILL_COMING: Duration = Duration::from_millis(3_200);
+const STILL_COMING: Duration = Duration::from_millis(2_700);
 /// Part of the grace time that is kept for ending the process.
-const END_MARGIN: Duration = Duration::from_millis(700);
+const END_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two looks at whether a leaving host is empty.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Longest time in which the balancer's question must arrive and be answered.
@@ -165,15 +165,19 @@
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.front.running());
         self.leaving.store(true, Ordering::SeqCst);
-        self.front.leave();
+        self.front.enter(Stage::Leaving);
         let emptied = timeout(self.grace.saturating_sub(END_MARGIN), async {
             sleep(STILL_COMING).await;
+            self.front.enter(Stage::Closing);
             while self.front.running() > 0 {
                 sleep(DRAIN_POLL).await;
             }
         });
         let whole = emptied.await.is_ok();
-        log::info!("event=drained whole={whole} running={}", self.front.running());
+        log::info!(
+            "event=drained whole={whole} running={}",
+            self.front.running()
+        );
         whole
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -7,8 +7,7 @@
 use settings::{Document, Problems};
 
 /// All settings of a host.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Name of the host; unique in the fleet.
@@ -28,8 +27,7 @@
 }
 
 /// Addresses to listen on.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Listen {
     /// HTTP for clients.
@@ -41,8 +39,7 @@
 }
 
 /// The platform.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Platform {
     /// HTTP address of the store.
@@ -50,8 +47,7 @@
 }
 
 /// Bounds on repeated work, summed over all hosts.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Retry {
     /// Repeats for each first attempt.
@@ -63,8 +59,7 @@
 }
 
 /// Bounds in time.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Times {
     /// Milliseconds from SIGTERM to SIGKILL.
@@ -76,16 +71,14 @@
 }
 
 /// Logs.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Log {
     /// The least important level that is written.
     pub level: String,
 }
 
-const UNSET: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+const UNSET: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
 impl Default for Listen {
     fn default() -> Self {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -70,7 +70,10 @@
     accepted: Accepted,
     profile: &Profile,
 ) -> Response<Body> {
-    let (prompt, answer) = accepted.asked.tokens.unwrap_or((0, u64::from(profile.stride)));
+    let (prompt, answer) = accepted
+        .asked
+        .tokens
+        .unwrap_or((0, u64::from(profile.stride)));
     let mut job = Job {
         attempts: Attempts::new(&accepted.route),
         pipeline,
@@ -188,9 +191,7 @@
         let limit = remaining.min(place.plan.first_event * 2 + FIRST_SLACK);
         let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
         match sent {
-            Ok(Ok(exchange)) => {
-                self.judge(exchange, place, engine, reservations).await
-            }
+            Ok(Ok(exchange)) => self.judge(exchange, place, engine, reservations).await,
             Ok(Err(Failure::Unsent(reason))) => {
                 self.unreachable(&engine, &reason);
                 self.attempts.unsent(engine.identity());
@@ -355,7 +356,9 @@
     fn unreachable(&self, engine: &Entry, reason: &str) {
         self.log_send(engine, "unsent", reason);
         let now = self.pipeline.clock.now();
-        self.with_standing(engine.identity(), now, |standing, now| standing.unreachable(now));
+        self.with_standing(engine.identity(), now, |standing, now| {
+            standing.unreachable(now)
+        });
     }
 
     fn judge_engine(&self, engine: &Entry, fault: Option<&str>) {
