--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -25,8 +25,12 @@
 pub struct Load {
     /// Memory that it takes, in tokens.
     pub tokens: u64,
+    /// Reading that it takes here, alone.
+    pub work: Duration,
     /// When its reading should end.
     pub read_by: Instant,
+    /// Whether its reading is known to have ended.
+    pub read: bool,
     /// When all of it should have ended.
     pub ends_by: Instant,
     /// Whether it writes an answer here after its reading.
@@ -47,7 +51,6 @@
     /// Place in the order in which engines are filled, from 0 to 1; the same on every host.
     pub rank: f64,
     loads: HashMap<LoadId, Load>,
-    reading_until: Instant,
 }
 
 impl Engine {
@@ -63,42 +66,44 @@
             standing: Standing::default(),
             rank: f64::from(rank) / f64::from(RANKS),
             loads: HashMap::new(),
-            reading_until: Instant::default(),
         }
     }
 
-    /// Adds or corrects a load.
-    pub fn put(&mut self, id: LoadId, load: Load) {
+    /// Corrects a load, or adds one that delays nothing.
+    pub fn correct(&mut self, id: LoadId, load: Load) {
         self.loads.insert(id, load);
-        self.refresh();
+    }
+
+    /// Adds or corrects a load.
+    ///
+    /// Parts that an engine reads for others go ahead of its own prompts, which they delay.
+    pub fn put(&mut self, id: LoadId, load: Load, now: Instant) {
+        let new = self.loads.insert(id, load).is_none();
+        if new && !load.writes {
+            for (other, own) in &mut self.loads {
+                if *other != id && own.writes && !own.read && own.read_by > now {
+                    own.read_by = own.read_by + load.work;
+                }
+            }
+        }
     }
 
     /// Removes a load; returns whether it was there.
     pub fn remove(&mut self, id: LoadId) -> bool {
-        let removed = self.loads.remove(&id).is_some();
-        if removed {
-            self.refresh();
-        }
-        removed
+        self.loads.remove(&id).is_some()
     }
 
     /// Notes that the reading of a load has ended.
     pub fn has_read(&mut self, id: LoadId, now: Instant) {
         if let Some(load) = self.loads.get_mut(&id) {
+            load.read = true;
             load.read_by = load.read_by.min(now);
-            self.refresh();
         }
     }
 
     /// Removes the loads that `keep` refuses.
     pub fn retain(&mut self, keep: impl Fn(LoadId, &Load) -> bool) {
         self.loads.retain(|id, load| keep(*id, load));
-        self.refresh();
-    }
-
-    fn refresh(&mut self) {
-        let reading = self.loads.values().map(|load| load.read_by);
-        self.reading_until = reading.max().unwrap_or_default();
     }
 
     /// The loads.
@@ -106,10 +111,18 @@
         self.loads.iter().map(|(id, load)| (*id, load))
     }
 
-    /// Milliseconds of reading that were placed before and are not done.
+    /// Milliseconds until the prompts that were placed before are read.
     #[must_use]
     pub fn backlog_ms(&self, now: Instant) -> f64 {
-        self.reading_until.since(now).as_secs_f64() * 1_000.0
+        let left = self.loads.values().map(|load| left_ms(load, now));
+        left.fold(0.0, f64::max)
+    }
+
+    /// Milliseconds until the parts for other engines are read, which go ahead of own prompts.
+    #[must_use]
+    pub fn helping_ms(&self, now: Instant) -> f64 {
+        let parts = self.loads.values().filter(|load| !load.writes);
+        parts.map(|load| left_ms(load, now)).fold(0.0, f64::max)
     }
 
     /// Requests that write here, now or after their reading.
@@ -143,3 +156,24 @@
         speed.pass_ms(self.writers() + 1, self.used() + context)
     }
 }
+
+/// Milliseconds of reading that are left of a load.
+///
+/// Reading that should have ended and has not is expected to take as long again as it is late.
+fn left_ms(load: &Load, now: Instant) -> f64 {
+    /// A late part is mostly done: another part of the same prompt is what is waited for.
+    const LATEST_PART_MS: f64 = 50.0;
+    /// Longest time that is expected of late reading.
+    const LATEST_MS: f64 = 400.0;
+    if load.read {
+        return 0.0;
+    }
+    let left = load.read_by.since(now).as_secs_f64() * 1_000.0;
+    let late = now.since(load.read_by).as_secs_f64() * 1_000.0;
+    let latest = if load.writes {
+        LATEST_MS
+    } else {
+        LATEST_PART_MS
+    };
+    left + late.min(latest)
+}
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -8,10 +8,22 @@
 use crate::clock::Instant;
 use crate::name::Domain;
 
-/// Numbers of engines that are tried for reading one prompt; an engine takes 16 helpers at most.
-const COUNTS: [usize; 8] = [1, 2, 3, 4, 6, 8, 12, 17];
+/// Most engines that read one prompt: the one that writes, and the helpers that it takes.
+const MOST_ENGINES: usize = 17;
+/// Shortest part of a prompt that is worth another engine, in milliseconds of reading.
+const LEAST_PART_MS: f64 = 60.0;
+/// Longest part that one engine reads, in milliseconds, unless more engines than one prompt may
+/// have would be needed: longer ones hold up what is placed there next.
+const LONGEST_PART_MS: f64 = 450.0;
+/// Longest reading that may be placed before on an engine, in milliseconds: requests wait at the
+/// hosts, where a better place can still be found.
+const LONGEST_BACKLOG_MS: f64 = 300.0;
+/// Time in which the longest part and backlog double for a request that waits.
+const PATIENCE_MS: f64 = 2_000.0;
+/// Most by which the longest part and backlog grow.
+const MOST_PATIENCE: f64 = 2.0;
 /// What one more reading engine must save of the first token's time, in milliseconds.
-const ENGINE_PRICE_MS: f64 = 120.0;
+const ENGINE_PRICE_MS: f64 = 40.0;
 /// Share of the allowed pause that a predicted pass may take.
 const PAUSE_SHARE: f64 = 0.8;
 /// Streams whose events may pause no longer than this share engines among themselves.
@@ -78,17 +90,29 @@
 
 struct Candidate<'a> {
     engine: &'a Engine,
-    ready_ms: f64,
+    /// Milliseconds until a part would be read here as the engine's own prompt.
+    own_ms: f64,
+    /// Milliseconds until a part would be read here for another engine.
+    helping_ms: f64,
     cost: f64,
 }
 
 impl View<'_> {
     /// The best plan that harms no running stream, or `None` when there is none now.
-    pub fn plan(&self, ask: &Ask) -> Option<Plan> {
+    pub fn plan(&self, ask: &Ask, waited: Duration) -> Option<Plan> {
         let total = self.speed.read_ms(ask.prompt);
+        let least = total / as_f64(MOST_ENGINES as u64);
+        let patience = (1.0 + waited.as_secs_f64() * 1_000.0 / PATIENCE_MS).min(MOST_PATIENCE);
+        let longest = LONGEST_PART_MS.max(least) * patience;
+        let backlog = LONGEST_BACKLOG_MS * patience;
         let mut best: Option<(f64, Plan)> = None;
-        for count in COUNTS {
-            let Some(plan) = self.split(ask, count, total) else {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let most = ((total / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
+        for count in 1..=most.max(1) {
+            if total / as_f64(count as u64) > longest {
+                continue;
+            }
+            let Some(plan) = self.split(ask, count, total, backlog) else {
                 continue;
             };
             let extra = f64::from(u32::try_from(count - 1).unwrap_or(u32::MAX));
@@ -100,12 +124,13 @@
         best.map(|(_, plan)| plan)
     }
 
-    fn split(&self, ask: &Ask, count: usize, total_ms: f64) -> Option<Plan> {
+    fn split(&self, ask: &Ask, count: usize, total_ms: f64, backlog: f64) -> Option<Plan> {
         let part_ms = total_ms / as_f64(count as u64);
         let mut candidates: Vec<_> = self
             .engines
             .iter()
             .filter(|engine| !ask.excluded.contains(&engine.identity))
+            .filter(|engine| engine.backlog_ms(self.now) <= backlog)
             .filter_map(|engine| self.candidate(engine, ask, part_ms))
             .collect();
         if candidates.len() < count {
@@ -143,11 +168,10 @@
         let tight_here = tightest.is_some_and(|pause| pause <= TIGHT_PAUSE);
         let mut cost = backlog + pass;
         cost += match (tight_ask, tight_here) {
-            (true, true) => 0.0,
             (true, false) if engine.writers() > 0 => OPENING_MS + MIXING_MS,
             (true, false) => OPENING_MS,
             (false, true) => MIXING_MS,
-            (false, false) => 0.0,
+            (true, true) | (false, false) => 0.0,
         };
         if engine.domain != *self.domain {
             cost += DOMAIN_MS;
@@ -161,7 +185,8 @@
         let waiting_pass = if tightest.is_some() { pass / 2.0 } else { 0.0 };
         Some(Candidate {
             engine,
-            ready_ms: backlog + waiting_pass + part_ms,
+            own_ms: backlog + waiting_pass + part_ms,
+            helping_ms: engine.helping_ms(self.now) + waiting_pass + part_ms,
             cost,
         })
     }
@@ -202,21 +227,23 @@
         reserves: &[u64],
         part_ms: f64,
     ) -> Plan {
-        let reserved: u64 = reserves.iter().sum();
+        let elsewhere: u64 = reserves.iter().sum();
         let pass = first
             .engine
-            .pass_ms(self.speed, ask.prompt - reserved.min(ask.prompt));
-        let slowest = helpers.iter().map(|helper| helper.ready_ms);
-        let read_ms = slowest.fold(first.ready_ms, f64::max);
+            .pass_ms(self.speed, ask.prompt - elsewhere.min(ask.prompt));
+        let slowest = helpers.iter().map(|helper| helper.helping_ms);
+        let read_ms = slowest.fold(first.own_ms, f64::max);
         let stride = u64::from(self.speed.profile().stride.max(1));
         let passes = as_f64(ask.answer.div_ceil(stride));
         let ends_by = self.after(read_ms + passes * pass);
-        let read_here = |engine: &Engine| self.after(engine.backlog_ms(self.now) + part_ms);
+        let work = Duration::from_secs_f64(part_ms.max(0.0) / 1_000.0);
         let mut loads = vec![(
             first.engine.identity,
             Load {
-                tokens: (ask.prompt + ask.answer).saturating_sub(reserved),
-                read_by: read_here(first.engine),
+                tokens: (ask.prompt + ask.answer).saturating_sub(elsewhere),
+                work,
+                read_by: self.after(first.own_ms),
+                read: false,
                 ends_by,
                 writes: true,
                 pause: ask.pause,
@@ -224,10 +251,12 @@
         )];
         let mut parts = Vec::with_capacity(helpers.len());
         for (helper, reserve) in helpers.iter().zip(reserves) {
-            let read_by = read_here(helper.engine);
+            let read_by = self.after(helper.helping_ms);
             let load = Load {
                 tokens: *reserve,
+                work,
                 read_by,
+                read: false,
                 ends_by: if *reserve == 0 { read_by } else { ends_by },
                 writes: false,
                 pause: ask.pause,
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -14,6 +14,9 @@
 const FORGET_AFTER: Duration = Duration::from_secs(3);
 /// Share of the time left to the deadline that a request waits at most.
 const WAIT_SHARE: u32 = 3;
+/// Weight of a request's reading against its time when it is due: short work goes first, since
+/// the worth of a prompt grows with its length but its reading with the square of it.
+const WORK_WEIGHT: u32 = 2;
 /// Longest time after which a refused client is asked to come back.
 const LONGEST_RETRY: Duration = Duration::from_secs(2);
 /// Shortest time after which a refused client is asked to come back.
@@ -123,9 +126,15 @@
     pub fn assign(&mut self, now: Instant) -> Vec<(u64, Verdict)> {
         let mut verdicts = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
+        let speed = &self.speed;
         waiting.sort_by_key(|waiting| {
             let late = waiting.ask.due <= now;
-            (late, waiting.ask.priority, waiting.ask.due)
+            let work = Duration::from_secs_f64(speed.read_ms(waiting.ask.prompt) / 1_000.0);
+            (
+                late,
+                waiting.ask.priority,
+                waiting.ask.due + work * WORK_WEIGHT,
+            )
         });
         let mut blocked: Option<Duration> = None;
         for request in waiting {
@@ -147,9 +156,9 @@
         now: Instant,
     ) -> Option<Verdict> {
         if blocked.is_none_or(|pause| pause != request.ask.pause) {
-            if let Some(plan) = self.plan(&request.ask, now) {
+            if let Some(plan) = self.plan(&request.ask, now.since(request.since), now) {
                 let id = self.next_id();
-                self.apply(id, &plan);
+                self.apply(id, &plan, now);
                 return Some(Verdict::Start(id, plan));
             }
             *blocked = Some(request.ask.pause);
@@ -158,7 +167,7 @@
         (now.since(request.since) >= patience).then(|| Verdict::Refuse(self.retry_after(now)))
     }
 
-    fn plan(&self, ask: &Ask, now: Instant) -> Option<Plan> {
+    fn plan(&self, ask: &Ask, waited: Duration, now: Instant) -> Option<Plan> {
         let view = |avoid: bool| View {
             engines: self
                 .engines
@@ -172,9 +181,9 @@
         let sound = view(true);
         // When most engines look bad, the judgement is doubted rather than the engines.
         let plan = if sound.engines.len() * 2 >= self.engines.len() {
-            sound.plan(ask)
+            sound.plan(ask, waited)
         } else {
-            view(false).plan(ask)
+            view(false).plan(ask, waited)
         };
         plan.filter(|plan| now + plan.first_event < ask.deadline)
     }
@@ -187,16 +196,23 @@
         }
     }
 
-    fn apply(&mut self, id: LoadId, plan: &Plan) {
+    fn apply(&mut self, id: LoadId, plan: &Plan, now: Instant) {
         for (identity, load) in &plan.loads {
-            self.put(id, *identity, *load);
+            self.put(id, *identity, *load, now);
         }
     }
 
     /// Adds a load, of this host or another one.
-    pub fn put(&mut self, id: LoadId, engine: Identity, load: Load) {
+    pub fn put(&mut self, id: LoadId, engine: Identity, load: Load, now: Instant) {
         if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.put(id, load);
+            engine.put(id, load, now);
+        }
+    }
+
+    /// Corrects a load of another host by that host's own account.
+    pub fn correct(&mut self, id: LoadId, engine: Identity, load: Load) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.correct(id, load);
         }
     }
 
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use wire::datagram;
-use wire::placement::{Item, Placements};
+use wire::placement::{Item, Placements, Scope};
 
 use crate::clock::Clock;
 use crate::known::Known;
@@ -106,12 +106,12 @@
         }
     }
 
-    fn frame(&self, complete: bool, items: Vec<Item>) -> Placements {
+    fn frame(&self, scope: Scope, items: Vec<Item>) -> Placements {
         Placements {
             host: self.own.as_str().to_owned(),
             holder: self.holder,
             version: self.known.version(),
-            complete,
+            scope,
             items,
         }
     }
@@ -130,16 +130,17 @@
                 self.expire();
                 self.placer.forget();
                 self.placer.take_news();
-                self.send_items(&socket, true, self.placer.all()).await;
+                self.send_items(&socket, Scope::Account, self.placer.all())
+                    .await;
             } else {
                 sleep(GATHER).await;
                 let news = self.placer.take_news();
-                self.send_items(&socket, false, news).await;
+                self.send_items(&socket, Scope::News, news).await;
             }
         }
     }
 
-    async fn send_items(&self, socket: &UdpSocket, complete: bool, items: Vec<Item>) {
+    async fn send_items(&self, socket: &UdpSocket, mut scope: Scope, items: Vec<Item>) {
         let now = self.clock.now();
         let addresses: Vec<_> = {
             let peers = self.peers.lock();
@@ -152,11 +153,14 @@
             return;
         }
         let mut chunks: Vec<&[Item]> = items.chunks(ITEMS).collect();
-        if chunks.is_empty() && complete {
+        if chunks.is_empty() && scope == Scope::Account {
             chunks.push(&[]);
         }
-        for (index, chunk) in chunks.into_iter().enumerate() {
-            let frame = self.frame(complete && index == 0, chunk.to_vec());
+        for chunk in chunks {
+            let frame = self.frame(scope, chunk.to_vec());
+            if scope == Scope::Account {
+                scope = Scope::Continued;
+            }
             let Ok(bytes) = datagram::encode(KEY, &frame) else {
                 log::error!("event=frame_too_large items={}", frame.items.len());
                 continue;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -11,7 +11,7 @@
 use kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
-use wire::placement::{Item, Part, Placements};
+use wire::placement::{Item, Part, Placements, Scope};
 
 use crate::clock::Clock;
 
@@ -257,28 +257,37 @@
         let now = self.clock.now();
         let mut slots = self.slots.lock();
         for slot in slots.values_mut() {
-            if frame.complete {
+            if frame.scope == Scope::Account {
                 slot.pool.drop_holder(frame.holder);
             }
             for item in &frame.items {
-                Self::take(&mut slot.pool, frame.holder, item, now);
+                Self::take(&mut slot.pool, frame, item, now);
             }
             Self::assign(slot, now);
         }
     }
 
-    fn take(pool: &mut Pool, holder: u64, item: &Item, now: Instant) {
-        let id = |sequence| LoadId { holder, sequence };
+    fn take(pool: &mut Pool, frame: &Placements, item: &Item, now: Instant) {
+        let id = |sequence| LoadId {
+            holder: frame.holder,
+            sequence,
+        };
         match item {
             Item::Put(part) => {
                 let load = Load {
                     tokens: part.tokens,
+                    work: Duration::from_millis(part.work_ms.into()),
                     read_by: now + Duration::from_millis(part.read_ms.into()),
+                    read: part.read,
                     ends_by: now + Duration::from_millis(part.ends_ms.into()),
                     writes: part.writes,
                     pause: Duration::from_millis(part.pause_ms.into()),
                 };
-                pool.put(id(part.sequence), Identity(part.engine), load);
+                let (id, engine) = (id(part.sequence), Identity(part.engine));
+                match frame.scope {
+                    Scope::News => pool.put(id, engine, load, now),
+                    Scope::Account | Scope::Continued => pool.correct(id, engine, load),
+                }
             }
             Item::Read(sequence) => pool.has_read(id(*sequence), now),
             Item::Done(sequence) => pool.release(id(*sequence)),
@@ -309,6 +318,8 @@
         sequence: id.sequence,
         engine: engine.0,
         tokens: load.tokens,
+        work_ms: millis(load.work),
+        read: load.read,
         read_ms: millis(load.read_by.since(now)),
         ends_ms: millis(load.ends_by.since(now)),
         writes: load.writes,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -187,6 +187,7 @@
             resume_after,
             helpers: &helpers,
         };
+        self.log_placed(&engine, &place);
         let request = self.accepted.outgoing(&*pipeline.dialect, &sending);
         let limit = remaining.min(place.plan.first_event * 2 + FIRST_SLACK);
         let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
@@ -308,6 +309,7 @@
         sender: &mpsc::Sender<Result<Bytes, Broken>>,
     ) -> End {
         let mut read = false;
+        let mut last = self.pipeline.clock.now();
         loop {
             let left = self.accepted.deadline.since(self.pipeline.clock.now());
             let silence = if read {
@@ -338,9 +340,15 @@
             if events.is_empty() {
                 continue;
             }
+            let now = self.pipeline.clock.now();
+            if read && now.since(last) > self.pause() {
+                self.log_pause(opened, now.since(last));
+            }
+            last = now;
             if !read {
                 read = true;
                 opened.place.has_read();
+                self.log_first_event();
             }
             if sender.send(Ok(events.into())).await.is_err() {
                 return End::ClientLeft;
@@ -383,6 +391,50 @@
             .judge(service, engine, |standing| change(standing, now));
     }
 
+    fn log_placed(&self, engine: &Entry, place: &Place) {
+        log::info!(
+            "event=placed request={} engine={} prompt={} helpers={} waited_ms={} first_event_ms={} parts={:?}",
+            self.accepted.id(),
+            engine.name,
+            self.prompt,
+            place.plan.helpers.len(),
+            self.since_arrival().as_millis(),
+            place.plan.first_event.as_millis(),
+            place
+                .plan
+                .loads
+                .iter()
+                .map(|(engine, load)| (
+                    engine.0 % 997,
+                    load.work.as_millis(),
+                    load.read_by.since(self.pipeline.clock.now()).as_millis()
+                ))
+                .collect::<Vec<_>>()
+        );
+    }
+
+    fn log_first_event(&self) {
+        log::info!(
+            "event=first_event request={} after_ms={}",
+            self.accepted.id(),
+            self.since_arrival().as_millis()
+        );
+    }
+
+    fn log_pause(&self, opened: &Opened, pause: Duration) {
+        log::info!(
+            "event=long_pause request={} engine={} pause_ms={} allowed_ms={}",
+            self.accepted.id(),
+            opened.engine.name,
+            pause.as_millis(),
+            self.pause().as_millis()
+        );
+    }
+
+    fn since_arrival(&self) -> Duration {
+        self.pipeline.clock.now().since(self.accepted.arrived)
+    }
+
     fn log_send(&self, engine: &Entry, outcome: &str, reason: &str) {
         log::info!(
             "event=send request={} engine={} outcome={outcome} reason=\"{reason}\"",
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -11,12 +11,23 @@
     pub holder: u64,
     /// Version of the configuration that the sender has in force.
     pub version: u64,
-    /// Whether the items are all that the sender has: what it told before and is missing has ended.
-    pub complete: bool,
+    /// What the items are.
+    pub scope: Scope,
     /// The news.
     pub items: Vec<Item>,
 }
 
+/// What the items of a frame are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// Changes since the last frame.
+    News,
+    /// All that the sender has: what it told before and is missing has ended.
+    Account,
+    /// More of the account before it.
+    Continued,
+}
+
 /// One change of a placement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
@@ -37,6 +48,10 @@
     pub engine: u64,
     /// Memory, in tokens.
     pub tokens: u64,
+    /// Milliseconds of reading that it takes there, alone.
+    pub work_ms: u32,
+    /// Whether its reading has ended.
+    pub read: bool,
     /// Milliseconds until its reading should end.
     pub read_ms: u32,
     /// Milliseconds until all should have ended.
