Tight streams are packed on few engines, in one order on all hosts

Cause: with few short prompts, their 25 streams were spread over 7 engines, where long prompts may not be read; the log of the pools shows requests waiting before 14 engines without backlog.

--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -28,13 +28,17 @@
 const PAUSE_SHARE: f64 = 0.8;
 /// Streams whose events may pause no longer than this share engines among themselves.
 const TIGHT_PAUSE: Duration = Duration::from_millis(300);
+/// Predicted first event up to which tight streams are packed closely, in milliseconds.
+const COMFORT_MS: f64 = 170.0;
+/// Weight of the common order of engines for tight streams, which keeps the others free.
+const PACKING_MS: f64 = 100.0;
 /// Cost of opening one more engine to tight streams, in milliseconds of first token.
-const OPENING_MS: f64 = 80.0;
+const OPENING_MS: f64 = 100.0;
 /// Cost of putting loose streams or long reading beside tight streams.
 const MIXING_MS: f64 = 400.0;
 /// Cost of another failure domain: its bytes are paid and its path is longer.
 const DOMAIN_MS: f64 = 15.0;
-/// Weight of the common order of engines: tight streams fill from its start, others from its end.
+/// Weight of the common order of engines for loose streams, which fill from its other end.
 const RANK_MS: f64 = 30.0;
 /// Share of a free engine's memory that is planned with; predictions and reports lag.
 const MEMORY_SHARE: f64 = 0.97;
@@ -104,7 +108,6 @@
         let least = total / as_f64(MOST_ENGINES as u64);
         let patience = (1.0 + waited.as_secs_f64() * 1_000.0 / PATIENCE_MS).min(MOST_PATIENCE);
         let longest = LONGEST_PART_MS.max(least) * patience;
-        let backlog = LONGEST_BACKLOG_MS * patience;
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = ((total / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
@@ -112,7 +115,7 @@
             if total / as_f64(count as u64) > longest {
                 continue;
             }
-            let Some(plan) = self.split(ask, count, total, backlog) else {
+            let Some(plan) = self.split(ask, count, total, patience) else {
                 continue;
             };
             let extra = f64::from(u32::try_from(count - 1).unwrap_or(u32::MAX));
@@ -124,23 +127,25 @@
         best.map(|(_, plan)| plan)
     }
 
-    fn split(&self, ask: &Ask, count: usize, total_ms: f64, backlog: f64) -> Option<Plan> {
+    fn split(&self, ask: &Ask, count: usize, total_ms: f64, patience: f64) -> Option<Plan> {
         let part_ms = total_ms / as_f64(count as u64);
         let mut candidates: Vec<_> = self
             .engines
             .iter()
             .filter(|engine| !ask.excluded.contains(&engine.identity))
-            .filter(|engine| engine.backlog_ms(self.now) <= backlog)
-            .filter_map(|engine| self.candidate(engine, ask, part_ms))
+            .filter_map(|engine| self.candidate(engine, ask, part_ms, patience))
             .collect();
         if candidates.len() < count {
             return None;
         }
         candidates.sort_by(|left, right| left.cost.total_cmp(&right.cost));
         let wanted = ask.prompt + ask.answer;
-        let first = candidates
-            .iter()
-            .position(|candidate| self.can_write(candidate.engine, wanted, count))?;
+        let whole = |candidate: &Candidate<'_>| self.free(candidate.engine) >= wanted;
+        let writes = |candidate: &Candidate<'_>| self.can_write(candidate.engine);
+        let mut places = candidates.iter();
+        let first = places
+            .position(|candidate| writes(candidate) && whole(candidate))
+            .or_else(|| candidates.iter().position(writes).filter(|_| count > 1))?;
         let first = candidates.remove(first);
         candidates.truncate(count - 1);
         let reserves = self.reserves(first.engine, &candidates, wanted)?;
@@ -148,53 +153,62 @@
     }
 
     /// Weighs an engine for reading a part, unless that harms streams that run there.
-    fn candidate<'a>(&self, engine: &'a Engine, ask: &Ask, part_ms: f64) -> Option<Candidate<'a>> {
+    fn candidate<'a>(
+        &self,
+        engine: &'a Engine,
+        ask: &Ask,
+        part_ms: f64,
+        patience: f64,
+    ) -> Option<Candidate<'a>> {
         let slots = self.speed.profile().slots as usize;
         if engine.helping() >= slots {
             return None;
         }
         let backlog = engine.backlog_ms(self.now);
-        let pass = engine.pass_ms(
-            self.speed,
-            ask.prompt.min(self.speed.profile().memory_tokens),
-        );
+        if backlog > LONGEST_BACKLOG_MS * patience {
+            return None;
+        }
+        let pass = engine.pass_ms(self.speed, 0);
         let tightest = engine.tightest();
+        let tight_here = tightest.is_some_and(|pause| pause <= TIGHT_PAUSE);
         if let Some(pause) = tightest
             && pass + backlog + part_ms > pause.as_secs_f64() * 1_000.0 * PAUSE_SHARE
         {
             return None;
         }
-        let tight_ask = ask.pause <= TIGHT_PAUSE;
-        let tight_here = tightest.is_some_and(|pause| pause <= TIGHT_PAUSE);
-        let mut cost = backlog + pass;
-        cost += match (tight_ask, tight_here) {
-            (true, false) if engine.writers() > 0 => OPENING_MS + MIXING_MS,
-            (true, false) => OPENING_MS,
-            (false, true) => MIXING_MS,
-            (true, true) | (false, false) => 0.0,
+        let waiting_pass = if tightest.is_some() { pass / 2.0 } else { 0.0 };
+        let own_ms = backlog + waiting_pass + part_ms;
+        let mut cost = if ask.pause <= TIGHT_PAUSE {
+            self.tight_cost(engine, own_ms + pass, tight_here)
+        } else {
+            let mixing = if tight_here { MIXING_MS } else { 0.0 };
+            backlog + pass + mixing + (1.0 - engine.rank) * RANK_MS
         };
         if engine.domain != *self.domain {
             cost += DOMAIN_MS;
         }
-        let rank = if tight_ask {
-            engine.rank
-        } else {
-            1.0 - engine.rank
-        };
-        cost += rank * RANK_MS;
-        let waiting_pass = if tightest.is_some() { pass / 2.0 } else { 0.0 };
         Some(Candidate {
             engine,
-            own_ms: backlog + waiting_pass + part_ms,
+            own_ms,
             helping_ms: engine.helping_ms(self.now) + waiting_pass + part_ms,
             cost,
         })
     }
 
+    /// Packs tight streams on few engines as long as they are on time there.
+    fn tight_cost(&self, engine: &Engine, event_ms: f64, tight_here: bool) -> f64 {
+        let late = (event_ms - COMFORT_MS).max(0.0);
+        let opening = match (tight_here, engine.writers()) {
+            (true, _) => 0.0,
+            (false, 0) => OPENING_MS,
+            (false, _) => OPENING_MS + MIXING_MS,
+        };
+        late + opening + engine.rank * PACKING_MS
+    }
+
     /// Whether the request itself can go to `engine`.
-    fn can_write(&self, engine: &Engine, wanted: u64, count: usize) -> bool {
-        let slots = self.speed.profile().slots as usize;
-        engine.writers() < slots && (count > 1 || self.free(engine) >= wanted)
+    fn can_write(&self, engine: &Engine) -> bool {
+        engine.writers() < self.speed.profile().slots as usize
     }
 
     fn free(&self, engine: &Engine) -> u64 {
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -164,6 +164,13 @@
             *blocked = Some(request.ask.pause);
         }
         let patience = request.ask.deadline.since(request.since) / WAIT_SHARE;
+        let patience = patience.min(
+            request
+                .ask
+                .due
+                .since(request.since)
+                .max(Duration::from_millis(250)),
+        );
         (now.since(request.since) >= patience).then(|| Verdict::Refuse(self.retry_after(now)))
     }
 
@@ -263,6 +270,26 @@
         })
     }
 
+    /// A line on the engines, for logs.
+    #[must_use]
+    pub fn summary(&self, now: Instant) -> String {
+        let mut e: Vec<_> = self.engines.values().collect();
+        e.sort_by(|a, b| a.rank.total_cmp(&b.rank));
+        let list: Vec<String> = e
+            .iter()
+            .map(|e| {
+                format!(
+                    "{:.0}/{}/{}/{}",
+                    e.backlog_ms(now),
+                    e.writers(),
+                    e.tightest().map_or(0, |t| t.as_millis()),
+                    e.used() / 1000
+                )
+            })
+            .collect();
+        format!("waiting={} engines={}", self.waiting.len(), list.join(" "))
+    }
+
     /// When the first engine should have room again.
     fn retry_after(&self, now: Instant) -> Duration {
         let ends = self.engines.values().flat_map(|engine| {
