--- a/bin/filbertctl/src/cmd/slopes.rs
+++ b/bin/filbertctl/src/cmd/slopes.rs
@@ -146,7 +146,7 @@
         let datagram = datagram::encode(b"key", &Heartbeat { news, pools }).unwrap_or_default();
         sent += targets.len();
         bytes += datagram.len() * targets.len();
-        black_box(datagram::decode(b"key", &datagram).is_ok());
+        black_box(datagram::decode::<wire::Heartbeat>(b"key", &datagram).is_ok());
     });
     let seconds = INTERVAL.as_secs_f64() * beats as f64;
     let line = |unit, value| Line {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod platform;
 mod server;
 pub mod service;
+pub mod site;
 pub mod text;
 pub mod weights;
 
--- /dev/null
+++ b/crates/fakes/src/site/log.rs
@@ -0,0 +1,158 @@
+//! The platform's log: keyed topics with one partition, long reads and failures.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use adapter::names;
+use async_trait::async_trait;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::{Response, StatusCode};
+use parking_lot::Mutex;
+use relay::body::Body;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::http1::{Answer, Request, json as answer};
+use crate::server::query;
+
+/// Bytes of a keyed record before its value: the key and its length.
+type Record = (String, Bytes);
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<Record>,
+    /// Records before this one are no longer kept.
+    first: usize,
+}
+
+/// The log.
+#[derive(Default)]
+pub struct Log {
+    topics: Mutex<HashMap<String, Topic>>,
+    appended: Notify,
+    down: AtomicBool,
+}
+
+impl Log {
+    /// Writes the newest record of a key; without a value the key is dropped.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let value = if value.is_null() {
+            Bytes::new()
+        } else {
+            Bytes::from(value.to_string())
+        };
+        self.put_bytes(topic, key, value);
+    }
+
+    /// Writes any bytes under a key.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: Bytes) {
+        let mut topics = self.topics.lock();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), value));
+        drop(topics);
+        self.appended.notify_waiters();
+    }
+
+    /// Refuses every call, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Forgets the history of a topic; the newest record of each key stays.
+    pub fn truncate(&self, topic: &str) {
+        if let Some(topic) = self.topics.lock().get_mut(topic) {
+            topic.first = topic.records.len();
+        }
+    }
+
+    fn append(&self, topic: &str, mut body: Bytes) -> Option<Value> {
+        let before = self.end(topic);
+        while body.has_remaining() {
+            let length = body.try_get_u32().ok()? as usize;
+            let mut record = (body.len() >= length).then(|| body.split_to(length))?;
+            let key = record.try_get_u8().map(usize::from).ok()?;
+            let key = (record.len() >= key).then(|| record.split_to(key))?;
+            self.put_bytes(topic, std::str::from_utf8(&key).ok()?, record);
+        }
+        Some(json!({ "offset": before, "endOffset": self.end(topic) }))
+    }
+
+    fn end(&self, topic: &str) -> usize {
+        let topics = self.topics.lock();
+        topics.get(topic).map_or(0, |topic| topic.records.len())
+    }
+
+    fn newest(&self, topic: &str) -> Value {
+        let topics = self.topics.lock();
+        let mut newest: BTreeMap<&str, &Bytes> = BTreeMap::new();
+        let records = topics.get(topic).map(|topic| &topic.records);
+        for (key, value) in records.into_iter().flatten() {
+            newest.insert(key, value);
+        }
+        newest.retain(|_, value| !value.is_empty());
+        let items: Vec<_> = newest
+            .into_iter()
+            .map(|(key, value)| json!({ "key": key, "value": BASE64_STANDARD.encode(value) }))
+            .collect();
+        let end = topics.get(topic).map_or(0, |topic| topic.records.len());
+        json!({ "items": items, "hasMore": false, "endOffset": end })
+    }
+
+    /// The records from `from`, or `None` when they are no longer kept.
+    fn read(&self, topic: &str, from: usize) -> Option<Vec<Record>> {
+        let topics = self.topics.lock();
+        let Some(topic) = topics.get(topic) else {
+            return Some(Vec::new());
+        };
+        (from >= topic.first).then(|| topic.records.get(from..).unwrap_or_default().to_vec())
+    }
+
+    async fn long_read(&self, topic: &str, from: usize, wait: Duration) -> Response<Body> {
+        let appended = self.appended.notified();
+        let mut records = self.read(topic, from);
+        if records.as_ref().is_some_and(Vec::is_empty) {
+            // At the end of the wait, whatever is there is the answer.
+            let _ = timeout(wait, appended).await;
+            records = self.read(topic, from);
+        }
+        let Some(records) = records else {
+            return answer(StatusCode::GONE, &json!({ "firstOffset": self.end(topic) }));
+        };
+        let mut body = BytesMut::new();
+        body.put_u64((from + records.len()) as u64);
+        body.put_u64(0);
+        for (key, value) in &records {
+            body.put_u32(u32::try_from(1 + key.len() + value.len()).unwrap_or(u32::MAX));
+            body.put_u8(u8::try_from(key.len()).unwrap_or(u8::MAX));
+            body.put_slice(key.as_bytes());
+            body.put_slice(value);
+        }
+        Response::new(Body::whole(body.freeze()))
+    }
+}
+
+#[async_trait]
+impl Answer for Log {
+    async fn answer(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+        if self.down.load(Ordering::SeqCst) {
+            return Some(answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+        }
+        let topic: String = query(&request.uri, "topic").unwrap_or_default();
+        let from = query(&request.uri, "from").unwrap_or(0);
+        let wait = query(&request.uri, "waitMs").map_or(Duration::ZERO, Duration::from_millis);
+        Some(match request.uri.path() {
+            names::APPEND => match self.append(&topic, request.body) {
+                Some(appended) => answer(StatusCode::OK, &appended),
+                None => answer(StatusCode::BAD_REQUEST, &json!({})),
+            },
+            names::READ => self.long_read(&topic, from, wait).await,
+            names::NEWEST => answer(StatusCode::OK, &self.newest(&topic)),
+            _ => answer(StatusCode::NOT_FOUND, &json!({})),
+        })
+    }
+}
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -15,9 +15,12 @@
 /// Longest part that one engine reads, in milliseconds, unless more engines than one prompt may
 /// have would be needed: longer ones hold up what is placed there next.
 const LONGEST_PART_MS: f64 = 450.0;
+/// Factor by which parts may be longer than those of a prompt that all engines read: some engines
+/// are mostly taken.
+const SPARE_ENGINES: f64 = 1.25;
 /// Longest reading that may be placed before on an engine, in milliseconds: requests wait at the
 /// hosts, where a better place can still be found.
-const LONGEST_BACKLOG_MS: f64 = 300.0;
+const LONGEST_BACKLOG_MS: f64 = 100.0;
 /// Time in which the longest part and backlog double for a request that waits.
 const PATIENCE_MS: f64 = 2_000.0;
 /// Most by which the longest part and backlog grow.
@@ -105,7 +108,8 @@
     /// The best plan that harms no running stream, or `None` when there is none now.
     pub fn plan(&self, ask: &Ask, waited: Duration) -> Option<Plan> {
         let total = self.speed.read_ms(ask.prompt);
-        let least = total / as_f64(MOST_ENGINES as u64);
+        let engines = self.engines.len().clamp(1, MOST_ENGINES);
+        let least = total / as_f64(engines as u64) * SPARE_ENGINES;
         let patience = (1.0 + waited.as_secs_f64() * 1_000.0 / PATIENCE_MS).min(MOST_PATIENCE);
         let longest = LONGEST_PART_MS.max(least) * patience;
         let mut best: Option<(f64, Plan)> = None;
@@ -179,7 +183,7 @@
         let waiting_pass = if tightest.is_some() { pass / 2.0 } else { 0.0 };
         let own_ms = backlog + waiting_pass + part_ms;
         let mut cost = if ask.pause <= TIGHT_PAUSE {
-            self.tight_cost(engine, own_ms + pass, tight_here)
+            tight_cost(engine, own_ms + pass, tight_here)
         } else {
             let mixing = if tight_here { MIXING_MS } else { 0.0 };
             backlog + pass + mixing + (1.0 - engine.rank) * RANK_MS
@@ -195,17 +199,6 @@
         })
     }
 
-    /// Packs tight streams on few engines as long as they are on time there.
-    fn tight_cost(&self, engine: &Engine, event_ms: f64, tight_here: bool) -> f64 {
-        let late = (event_ms - COMFORT_MS).max(0.0);
-        let opening = match (tight_here, engine.writers()) {
-            (true, _) => 0.0,
-            (false, 0) => OPENING_MS,
-            (false, _) => OPENING_MS + MIXING_MS,
-        };
-        late + opening + engine.rank * PACKING_MS
-    }
-
     /// Whether the request itself can go to `engine`.
     fn can_write(&self, engine: &Engine) -> bool {
         engine.writers() < self.speed.profile().slots as usize
@@ -293,3 +286,14 @@
         self.now + Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
     }
 }
+
+/// Packs tight streams on few engines as long as they are on time there.
+fn tight_cost(engine: &Engine, event_ms: f64, tight_here: bool) -> f64 {
+    let late = (event_ms - COMFORT_MS).max(0.0);
+    let opening = match (tight_here, engine.writers()) {
+        (true, _) => 0.0,
+        (false, 0) => OPENING_MS,
+        (false, _) => OPENING_MS + MIXING_MS,
+    };
+    late + opening + engine.rank * PACKING_MS
+}
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -14,6 +14,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(3);
 /// Share of the time left to the deadline that a request waits at most.
 const WAIT_SHARE: u32 = 3;
+/// Shortest time that a request waits, also when it can no longer be on time.
+const LEAST_WAIT: Duration = Duration::from_millis(250);
 /// Weight of a request's reading against its time when it is due: short work goes first, since
 /// the worth of a prompt grows with its length but its reading with the square of it.
 const WORK_WEIGHT: u32 = 2;
@@ -164,13 +166,8 @@
             *blocked = Some(request.ask.pause);
         }
         let patience = request.ask.deadline.since(request.since) / WAIT_SHARE;
-        let patience = patience.min(
-            request
-                .ask
-                .due
-                .since(request.since)
-                .max(Duration::from_millis(250)),
-        );
+        let due = request.ask.due.since(request.since).max(LEAST_WAIT);
+        let patience = patience.min(due);
         (now.since(request.since) >= patience).then(|| Verdict::Refuse(self.retry_after(now)))
     }
 
@@ -270,26 +267,6 @@
         })
     }
 
-    /// A line on the engines, for logs.
-    #[must_use]
-    pub fn summary(&self, now: Instant) -> String {
-        let mut e: Vec<_> = self.engines.values().collect();
-        e.sort_by(|a, b| a.rank.total_cmp(&b.rank));
-        let list: Vec<String> = e
-            .iter()
-            .map(|e| {
-                format!(
-                    "{:.0}/{}/{}/{}",
-                    e.backlog_ms(now),
-                    e.writers(),
-                    e.tightest().map_or(0, |t| t.as_millis()),
-                    e.used() / 1000
-                )
-            })
-            .collect();
-        format!("waiting={} engines={}", self.waiting.len(), list.join(" "))
-    }
-
     /// When the first engine should have room again.
     fn retry_after(&self, now: Instant) -> Duration {
         let ends = self.engines.values().flat_map(|engine| {
--- /dev/null
+++ b/crates/kernel/tests/catalogue.rs
@@ -0,0 +1,159 @@
+//! Configurations and endpoints: nothing goes back, and nothing that lapsed or left stays.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use filbertstage_kernel::catalogue::{
+    Catalogue, Configuration, Denied, Directory, Entry, Kind, Limits, Route, State, Target, Tenant,
+};
+use filbertstage_kernel::prelude::*;
+use rstest::rstest;
+
+fn route(name: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "trails.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(150),
+        pause: None,
+        priority: 3,
+        targets: vec![Target {
+            service: Service::from("desk"),
+            weight: 1,
+        }],
+        attempts: 2,
+        anonymous,
+        resumable: false,
+    }
+}
+
+fn configuration(version: u64) -> Configuration {
+    let routes = vec![
+        route("all", "/", false),
+        route("open", "/open/", true),
+        route("deep", "/open/deep/", false),
+    ];
+    let limits = Limits {
+        header_bytes: 16_384,
+        body_bytes: 65_536,
+        header_time: Duration::from_secs(3),
+        idle: Duration::from_secs(15),
+    };
+    let tenants = vec![Tenant {
+        workspace: Workspace::from("club"),
+        keys: vec!["key".to_owned()],
+        priority: Some(1),
+    }];
+    Configuration::new(version, routes, BTreeMap::new(), limits, Some(tenants))
+}
+
+fn entry(name: &str, born: u64, state: State) -> Entry {
+    Entry {
+        name: Endpoint::from(name),
+        born,
+        service: Service::from("desk"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: Domain::from("cannock"),
+        slots: 6,
+        state,
+    }
+}
+
+const fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+#[test]
+fn an_older_configuration_never_comes_into_force() {
+    let mut catalogue = Catalogue::default();
+    assert_eq!(catalogue.version(), 0);
+    assert!(catalogue.offer(configuration(7)));
+    assert!(!catalogue.offer(configuration(3)));
+    assert!(!catalogue.offer(configuration(7)));
+    assert_eq!(catalogue.version(), 7);
+}
+
+#[rstest]
+#[case::longest_prefix("/open/deep/x", Some("key"), Ok("deep"))]
+#[case::no_key_needed("/open/x", None, Ok("open"))]
+#[case::unknown_key_where_none_is_needed("/open/x", Some("gone"), Ok("open"))]
+#[case::key_needed("/open/deep/x", None, Err(Denied::NoKey))]
+#[case::unknown_key("/x", Some("gone"), Err(Denied::NoKey))]
+fn a_request_is_admitted_by_its_longest_prefix(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] expected: Result<&str, Denied>,
+) {
+    let configuration = configuration(1);
+    let admitted = configuration.admit("Trails.Example", path, key);
+    let name = admitted.map(|allowed| allowed.route.name.as_str().to_owned());
+    assert_eq!(name, expected.map(str::to_owned));
+}
+
+#[test]
+fn a_workspace_sets_the_priority_and_another_host_has_no_route() {
+    let configuration = configuration(1);
+    let allowed = configuration.admit("trails.example", "/x", Some("key"));
+    assert_eq!(allowed.expect("admitted").priority, 1);
+    let denied = configuration.admit("other.example", "/x", Some("key"));
+    assert_eq!(denied.err(), Some(Denied::NoRoute));
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_new() {
+    let mut directory = Directory::default();
+    assert!(directory.put(entry("i-1", 1, State::Ready)));
+    assert!(!directory.put(entry("i-1", 1, State::Ready)));
+    assert!(directory.put(entry("i-1", 1, State::Draining)));
+    assert_eq!(directory.ready(&Service::from("desk")).count(), 0);
+    assert!(directory.remove(&Endpoint::from("i-1"), at(10)));
+    assert_eq!(directory.entries().count(), 0);
+}
+
+#[test]
+fn a_name_that_starts_again_is_another_life() {
+    let first = entry("i-1", 1, State::Ready);
+    let second = entry("i-1", 2, State::Ready);
+    assert_ne!(first.identity(), second.identity());
+}
+
+/// Entries that lapse while the store is away are back within two seconds; an endpoint that left
+/// right after the outage must get nothing more two seconds later.
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_for_less_than_two_seconds() {
+    let mut directory = Directory::default();
+    directory.put(entry("back", 1, State::Ready));
+    directory.put(entry("gone", 1, State::Ready));
+    directory.returned(at(10_000));
+    assert!(!directory.remove(&Endpoint::from("back"), at(10_000)));
+    assert!(!directory.remove(&Endpoint::from("gone"), at(10_100)));
+    assert_eq!(directory.ready(&Service::from("desk")).count(), 2);
+    directory.put(entry("back", 1, State::Ready));
+    let expiry = directory.next_expiry().expect("one entry is doubtful");
+    assert!(expiry < at(12_000));
+    assert_eq!(directory.expire(expiry), [Endpoint::from("gone")]);
+    assert_eq!(directory.next_expiry(), None);
+    assert_eq!(directory.ready(&Service::from("desk")).count(), 1);
+}
+
+#[test]
+fn a_draining_endpoint_that_lapses_is_gone_at_once() {
+    let mut directory = Directory::default();
+    directory.put(entry("leaving", 1, State::Draining));
+    directory.returned(at(10_000));
+    assert!(directory.remove(&Endpoint::from("leaving"), at(10_000)));
+}
+
+#[test]
+fn a_full_reading_removes_what_the_store_does_not_hold() {
+    let mut directory = Directory::default();
+    directory.put(entry("old", 1, State::Ready));
+    directory.replace(vec![entry("new", 1, State::Ready)], at(1_000));
+    let names: Vec<_> = directory
+        .entries()
+        .map(|entry| entry.name.as_str().to_owned())
+        .collect();
+    assert_eq!(names, ["new"]);
+}
--- /dev/null
+++ b/crates/kernel/tests/place.rs
@@ -0,0 +1,279 @@
+//! Who waits and where work goes: the patterns of the heaviest days, without a network.
+
+use std::time::Duration;
+
+use filbertstage_kernel::catalogue::{Entry, Identity, Profile, State};
+use filbertstage_kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
+use filbertstage_kernel::prelude::*;
+use rstest::rstest;
+
+const NOW: Instant = Instant::from_millis(100_000);
+const OWN: u64 = 1;
+const OTHER: u64 = 2;
+
+/// The published formula of the engines that the patterns were seen on.
+fn profile() -> Profile {
+    Profile {
+        slots: 16,
+        memory_tokens: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        writer_ms: 0.004_83,
+        context_ms: 0.002_54,
+        read_per_s: 256_000.0,
+        pairs_ms: 0.0917,
+        chunk: 2_048,
+        hop_ms: 0.1,
+    }
+}
+
+fn entries(count: u32) -> Vec<Entry> {
+    let entry = |index: u32| Entry {
+        name: Endpoint::from(format!("engine-{index}")),
+        born: 1,
+        service: Service::from("writer"),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: Domain::from("cannock"),
+        slots: 16,
+        state: State::Ready,
+    };
+    (0..count).map(entry).collect()
+}
+
+fn pool(count: u32) -> Pool {
+    let mut pool = Pool::new(Speed::new(profile()), Domain::from("cannock"), OWN);
+    pool.set_engines(entries(count).iter());
+    pool
+}
+
+fn ask(prompt: u64, objective_ms: u64, pause_ms: u64, now: Instant) -> Ask {
+    Ask {
+        prompt,
+        answer: 1_600,
+        due: now + Duration::from_millis(objective_ms),
+        deadline: now + Duration::from_millis(objective_ms * 10),
+        pause: Duration::from_millis(pause_ms),
+        priority: 1,
+        excluded: Vec::new(),
+    }
+}
+
+fn short(now: Instant) -> Ask {
+    ask(5_000, 300, 200, now)
+}
+
+fn long(prompt: u64, now: Instant) -> Ask {
+    ask(prompt, 3_000, 800, now)
+}
+
+fn start(pool: &mut Pool, ask: Ask, now: Instant) -> Option<(LoadId, Plan)> {
+    let ticket = pool.submit(ask, now);
+    let mut verdicts = pool.assign(now);
+    let index = verdicts.iter().position(|(other, _)| *other == ticket)?;
+    match verdicts.swap_remove(index).1 {
+        Verdict::Start(id, plan) => Some((id, plan)),
+        Verdict::Refuse(_) => None,
+    }
+}
+
+#[rstest]
+#[case::short(5_000, 20.0, 24.0)]
+#[case::middle(45_000, 270.0, 300.0)]
+#[case::long(210_000, 2_800.0, 3_000.0)]
+fn reading_grows_with_the_square_of_the_prompt(
+    #[case] prompt: u64,
+    #[case] least_ms: f64,
+    #[case] most_ms: f64,
+) {
+    let read = Speed::new(profile()).read_ms(prompt);
+    assert!((least_ms..most_ms).contains(&read), "{read}");
+}
+
+/// A prompt that one engine reads in about its whole objective is read by several.
+#[test]
+fn a_long_prompt_is_split_and_on_time() {
+    let mut pool = pool(21);
+    let (_, plan) = start(&mut pool, long(210_000, NOW), NOW).expect("a place");
+    assert!(plan.helpers.len() >= 4, "{}", plan.helpers.len());
+    assert!(plan.first_event < Duration::from_secs(1));
+    assert!(plan.helpers.iter().all(|part| part.reserve == 0));
+}
+
+/// A million tokens fit no engine: helpers hold the rest in reserved memory.
+#[test]
+fn a_million_tokens_are_held_by_several_engines() {
+    let mut pool = pool(21);
+    let (_, plan) = start(&mut pool, long(1_000_000, NOW), NOW).expect("a place");
+    let reserved: u64 = plan.helpers.iter().map(|part| part.reserve).sum();
+    assert!(reserved >= 1_001_600 - 450_000, "{reserved}");
+    assert!(plan.loads.iter().all(|(_, load)| load.tokens <= 450_000));
+}
+
+/// In the quiet of short prompts their streams stay on few engines, so that long ones find many.
+#[test]
+fn tight_streams_are_packed() {
+    let mut pool = pool(21);
+    let mut used = std::collections::BTreeSet::new();
+    for step in 0..25 {
+        let now = NOW + Duration::from_millis(step * 70);
+        let (id, plan) = start(&mut pool, short(now), now).expect("a place");
+        used.insert(plan.first);
+        pool.has_read(id, now + Duration::from_millis(60));
+    }
+    assert!(used.len() <= 2, "{} engines", used.len());
+}
+
+/// The burst of short prompts: many at one moment are spread, and all are on time.
+#[test]
+fn a_burst_of_short_prompts_is_on_time() {
+    let mut pool = pool(21);
+    for _ in 0..60 {
+        let (_, plan) = start(&mut pool, short(NOW), NOW).expect("a place");
+        assert!(
+            plan.first_event < Duration::from_millis(290),
+            "{:?}",
+            plan.first_event
+        );
+    }
+}
+
+/// A long prompt is not read where streams write whose events may pause only briefly.
+#[test]
+fn long_reading_keeps_away_from_tight_streams() {
+    let mut pool = pool(8);
+    let (_, first) = start(&mut pool, short(NOW), NOW).expect("a place");
+    let (_, plan) = start(&mut pool, long(300_000, NOW), NOW).expect("a place");
+    assert_ne!(plan.first, first.first);
+    assert!(plan.helpers.iter().all(|part| part.engine != first.first));
+}
+
+/// Requests wait at the host rather than behind much reading at an engine.
+#[test]
+fn engines_get_little_reading_ahead() {
+    let mut pool = pool(4);
+    let mut started = 0;
+    for _ in 0..10 {
+        if start(&mut pool, long(210_000, NOW), NOW).is_some() {
+            started += 1;
+        }
+    }
+    assert!(started < 3, "{started} started");
+    assert_eq!(pool.waiting(), 10 - started);
+}
+
+/// Short work goes first, as its worth for the time that it takes is higher.
+#[test]
+fn the_shorter_of_two_waiting_prompts_goes_first() {
+    let mut pool = pool(1);
+    let (id, _) = start(&mut pool, long(100_000, NOW), NOW).expect("a place");
+    let huge = pool.submit(long(250_000, NOW), NOW);
+    let middle = pool.submit(long(100_000, NOW), NOW);
+    assert!(pool.assign(NOW).is_empty());
+    pool.release(id);
+    let verdicts = pool.assign(NOW);
+    assert!(verdicts.iter().any(|(ticket, _)| *ticket == middle));
+    assert!(verdicts.iter().all(|(ticket, _)| *ticket != huge));
+    assert_eq!(pool.waiting(), 1);
+}
+
+/// A request that finds no place is refused with a time to come back, not held to its end.
+#[test]
+fn a_request_without_a_place_is_refused_when_it_is_due() {
+    let mut pool = pool(0);
+    let ticket = pool.submit(short(NOW), NOW);
+    assert!(pool.assign(NOW).is_empty());
+    let verdicts = pool.assign(NOW + Duration::from_millis(300));
+    assert!(matches!(verdicts[..], [(refused, Verdict::Refuse(after))]
+        if refused == ticket && !after.is_zero()));
+    assert_eq!(pool.waiting(), 0);
+}
+
+fn part(work_ms: u64, writes: bool) -> Load {
+    Load {
+        tokens: 1_000,
+        work: Duration::from_millis(work_ms),
+        read_by: NOW + Duration::from_millis(work_ms),
+        read: false,
+        ends_by: NOW + Duration::from_secs(4),
+        writes,
+        pause: Duration::from_millis(800),
+    }
+}
+
+fn backlog(pool: &mut Pool, engine: Identity) -> f64 {
+    let engine = pool.engine_mut(engine).expect("known");
+    engine.backlog_ms(NOW)
+}
+
+/// Engines read parts for others ahead of their own prompts. An account of another host, which
+/// repeats what is known, delays nothing again.
+#[test]
+fn a_part_for_another_engine_delays_own_prompts_once() {
+    let mut pool = pool(1);
+    let engine = entries(1)[0].identity();
+    let id = |sequence| LoadId {
+        holder: OTHER,
+        sequence,
+    };
+    pool.put(id(1), engine, part(300, true), NOW);
+    pool.put(id(2), engine, part(200, false), NOW);
+    assert!((backlog(&mut pool, engine) - 500.0).abs() < 1.0);
+    pool.drop_holder(OTHER);
+    let mut own = part(300, true);
+    own.read_by = NOW + Duration::from_millis(500);
+    pool.correct(id(1), engine, own);
+    pool.correct(id(2), engine, part(200, false));
+    assert!((backlog(&mut pool, engine) - 500.0).abs() < 1.0);
+}
+
+#[test]
+fn the_loads_of_a_lost_host_are_dropped_and_own_ones_stay() {
+    let mut pool = pool(1);
+    let engine = entries(1)[0].identity();
+    let theirs = LoadId {
+        holder: OTHER,
+        sequence: 1,
+    };
+    pool.put(theirs, engine, part(20, true), NOW);
+    let (own, _) = start(&mut pool, short(NOW), NOW).expect("a place");
+    assert_eq!(pool.engine_mut(engine).expect("known").writers(), 2);
+    pool.drop_holder(OTHER);
+    let kept: Vec<_> = pool.own().map(|(_, id, _)| id).collect();
+    assert_eq!(kept, [own]);
+}
+
+/// Loads that nobody renews end some time after they should have; own ones are held by requests.
+#[test]
+fn loads_that_nobody_renews_are_forgotten() {
+    let mut pool = pool(1);
+    let engine = entries(1)[0].identity();
+    let theirs = LoadId {
+        holder: OTHER,
+        sequence: 1,
+    };
+    pool.put(theirs, engine, part(300, true), NOW);
+    pool.forget(NOW + Duration::from_secs(5));
+    assert_eq!(pool.engine_mut(engine).expect("known").writers(), 1);
+    pool.forget(NOW + Duration::from_secs(8));
+    assert_eq!(pool.engine_mut(engine).expect("known").writers(), 0);
+}
+
+/// Engines that failed lately are left out, unless that would leave out most of them.
+#[rstest]
+#[case::one_of_four(1, false)]
+#[case::three_of_four(3, true)]
+fn failing_engines_are_left_out_with_a_floor(#[case] failing: usize, #[case] used: bool) {
+    let mut pool = pool(4);
+    let bad: Vec<_> = entries(4)[..failing].iter().map(Entry::identity).collect();
+    for identity in &bad {
+        let engine = pool.engine_mut(*identity).expect("known");
+        engine.standing.unreachable(NOW);
+    }
+    let mut touched = false;
+    for _ in 0..12 {
+        if let Some((_, plan)) = start(&mut pool, short(NOW), NOW) {
+            touched |= bad.contains(&plan.first);
+        }
+    }
+    assert_eq!(touched, used);
+}
--- a/crates/relay/src/border.rs
+++ b/crates/relay/src/border.rs
@@ -70,18 +70,16 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answered {
-    /// Whether the answer belongs to the attempt that was sent.
-    pub echoed: bool,
-    /// Whether the endpoint vouches for the answer.
-    pub signed: bool,
-    /// Whether the endpoint states that it did not run the request.
-    pub not_run: bool,
-    /// Whether another endpoint has the address now.
-    pub misdirected: bool,
-    /// The endpoint that was at fault for a request that was not run.
-    pub at_fault: Option<SocketAddr>,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    /// It is the answer to another request.
+    Foreign,
+    /// The endpoint did not run the request; it may name the one that was at fault.
+    NotRun(Option<SocketAddr>),
+    /// The endpoint does not vouch for the answer.
+    Unsigned,
+    /// It is the endpoint's own answer to this request.
+    Genuine,
 }
 
 /// Reads and writes the headers of a platform.
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -18,7 +18,7 @@
 
 impl Clock {
     /// Lifts the count above zero, so that spans before the start can be expressed.
-    const OFFSET: std::time::Duration = std::time::Duration::from_secs(3_600);
+    const OFFSET: std::time::Duration = std::time::Duration::from_hours(1);
 
     /// The present time.
     #[must_use]
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,6 +5,7 @@
 
 use kernel::catalogue::Configuration;
 use kernel::clock::Instant;
+use kernel::name::Endpoint;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -161,11 +162,7 @@
                         log::info!("event=endpoint endpoint={name} state={state:?}");
                     }
                 }
-                Fact::EndpointRemoved(name) => {
-                    if self.known.remove(&name, now) {
-                        log::info!("event=endpoint_gone endpoint={name} reason=\"removed\"");
-                    }
-                }
+                Fact::EndpointRemoved(name) => self.remove(&name, now),
                 Fact::Unreadable { key, reason } => unreadable(Topic::Endpoints, &key, &reason),
                 _ => {}
             }
@@ -179,6 +176,12 @@
         }
     }
 
+    fn remove(&self, name: &Endpoint, now: Instant) {
+        if self.known.remove(name, now) {
+            log::info!("event=endpoint_gone endpoint={name} reason=\"removed\"");
+        }
+    }
+
     fn refresh_engines(&self) {
         for service in self.placer.services() {
             let entries = self.known.ready(&service);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -55,12 +55,15 @@
     Closing,
 }
 
+/// Time in which a connection that came late may still send a request, to be told to go elsewhere.
+const FIRST_REQUEST: Duration = Duration::from_millis(400);
 /// Time after which a client may come back, over another connection, to another host.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
 
 /// What one connection is doing.
 struct Activity {
     running: usize,
+    served: bool,
     idle_since: Instant,
 }
 
@@ -72,7 +75,11 @@
 impl Busy {
     fn start(front: Arc<Front>, activity: Arc<Mutex<Activity>>) -> Self {
         front.running.fetch_add(1, Ordering::SeqCst);
-        activity.lock().running += 1;
+        {
+            let mut activity = activity.lock();
+            activity.running += 1;
+            activity.served = true;
+        }
         Self { front, activity }
     }
 }
@@ -157,6 +164,7 @@
         }
         let activity = Arc::new(Mutex::new(Activity {
             running: 0,
+            served: false,
             idle_since: self.clock.now(),
         }));
         let front = Arc::clone(&self);
@@ -179,7 +187,7 @@
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
-            () = self.closing() => {
+            () = self.closing(&activity) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -214,10 +222,13 @@
     }
 
     /// Returns when connections are to end.
-    async fn closing(&self) {
+    async fn closing(&self, activity: &Mutex<Activity>) {
         let mut stage = self.stage.subscribe();
         // The sender lives as long as the front.
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+        if !activity.lock().served {
+            sleep(FIRST_REQUEST).await;
+        }
     }
 
     async fn answer(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,10 +4,10 @@
 //! `stream` places it and forwards it over [`transport`]. What the platform gives stands behind the
 //! traits of [`border`]; every choice is made by the kernel.
 
-mod attempts;
-mod body;
+pub mod attempts;
+pub mod body;
 pub mod border;
-mod budget;
+pub mod budget;
 mod clock;
 mod follow;
 pub mod front;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -307,7 +307,6 @@
         let now = self.clock.now();
         let mut slots = self.slots.lock();
         for slot in slots.values_mut() {
-            log::info!("event=pool {}", slot.pool.summary(now));
             slot.pool.forget(now);
         }
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -16,6 +16,11 @@
 /// Multiple of the objective after which a repeatable call is tried elsewhere.
 const SILENCE_OBJECTIVES: u32 = 4;
 
+/// Reason for an answer that belongs to another request.
+pub(crate) const FOREIGN: &str = "the answer is not to this request";
+/// Reason for an answer that its endpoint does not vouch for.
+pub(crate) const UNSIGNED: &str = "the endpoint does not vouch for the answer";
+
 /// Counts a call as running at an endpoint until it is dropped.
 struct Running<'a> {
     pipeline: &'a Pipeline,
@@ -67,7 +72,7 @@
         let sent = send(pipeline, accepted, &entry).await;
         note(pipeline, accepted, &entry, &sent);
         match sent {
-            Sent::Answer(head, body) => return pass_on(head, body),
+            Sent::Answer(head, body) => return pass_on(&head, body),
             Sent::Failed(head, body) => {
                 attempts.ran(endpoint);
                 last_failure = Some((head, body));
@@ -87,7 +92,7 @@
         gave_up.as_str()
     );
     match last_failure {
-        Some((head, body)) => pass_on(head, body),
+        Some((head, body)) => pass_on(&head, body),
         None => attempts.answer(gave_up),
     }
 }
@@ -121,7 +126,7 @@
         let id = accepted.asked.id.as_deref();
         let head = &exchange.head;
         let answered = pipeline.dialect.answered(id, head.status, &head.headers);
-        if !answered.echoed {
+        if answered == Answered::Foreign {
             // The connection is dropped with the answer, which belongs to another request.
             return Err(Failure::Uncertain(
                 "the answer is not to this request".to_owned(),
@@ -131,7 +136,7 @@
         Ok((answered, head, body))
     };
     match timeout(limit, exchange).await {
-        Ok(Ok((answered, head, body))) => judge(&answered, head, body),
+        Ok(Ok((answered, head, body))) => judge(answered, head, body),
         Ok(Err(Failure::Unsent(reason))) => Sent::Unsent(reason),
         Ok(Err(Failure::Uncertain(reason))) => Sent::Uncertain(reason),
         Err(_) => {
@@ -141,15 +146,13 @@
     }
 }
 
-fn judge(answered: &Answered, head: response::Parts, body: bytes::Bytes) -> Sent {
-    if answered.not_run || answered.misdirected {
-        Sent::NotRun
-    } else if !answered.signed || head.headers.contains_key(http::header::CONTENT_ENCODING) {
-        Sent::Uncertain("the endpoint does not vouch for the answer".to_owned())
-    } else if head.status.is_server_error() {
-        Sent::Failed(head, body)
-    } else {
-        Sent::Answer(head, body)
+fn judge(answered: Answered, head: response::Parts, body: bytes::Bytes) -> Sent {
+    match answered {
+        Answered::Foreign => Sent::Uncertain(FOREIGN.to_owned()),
+        Answered::NotRun(_) => Sent::NotRun,
+        Answered::Unsigned => Sent::Uncertain(UNSIGNED.to_owned()),
+        Answered::Genuine if head.status.is_server_error() => Sent::Failed(head, body),
+        Answered::Genuine => Sent::Answer(head, body),
     }
 }
 
@@ -183,7 +186,7 @@
 }
 
 /// The endpoint's answer as the client gets it.
-pub(crate) fn pass_on(head: response::Parts, body: bytes::Bytes) -> Response<Body> {
+pub(crate) fn pass_on(head: &response::Parts, body: bytes::Bytes) -> Response<Body> {
     let mut response = Response::new(Body::whole(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end(&head.headers);
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -13,7 +13,7 @@
 use crate::placer::Place;
 
 /// Time for which memory is reserved; a host that dies leaves it for no longer.
-const HOLD: Duration = Duration::from_millis(3_000);
+const HOLD: Duration = Duration::from_secs(3);
 /// Time between two renewals.
 const RENEW: Duration = Duration::from_millis(900);
 /// Longest wait for an engine's answer to an order.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,20 +5,20 @@
 
 use bytes::Bytes;
 use http::{Response, response};
-use kernel::catalogue::{Entry, Identity, Profile};
-use kernel::clock::Instant;
+use kernel::catalogue::{Entry, Profile};
 use kernel::event::Splitter;
+use kernel::outlier::Standing;
 use kernel::place::Ask;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::attempts::{Attempts, GaveUp};
 use crate::body::{Body, Broken};
-use crate::border::Sending;
+use crate::border::{Answered, Sending};
 use crate::headers::end_to_end;
 use crate::pipeline::{Accepted, Pipeline};
 use crate::placer::Place;
-use crate::plain::pass_on;
+use crate::plain::{FOREIGN, UNSIGNED, pass_on};
 use crate::reservation::{self, Reservations};
 use crate::transport::{Exchange, Failure};
 
@@ -84,7 +84,7 @@
     let resume_after = job.accepted.asked.resume_after.clone();
     match job.open(resume_after.as_deref()).await {
         Ok(opened) => job.answer(opened),
-        Err(NotOpened::Failed(head, body)) => pass_on(head, body),
+        Err(NotOpened::Failed(head, body)) => pass_on(&head, body),
         Err(NotOpened::GaveUp(gave_up)) => {
             log::info!(
                 "event=gave_up request={} sends={} reason=\"{}\"",
@@ -222,22 +222,23 @@
         let head = &exchange.head;
         let dialect = &self.pipeline.dialect;
         let answered = dialect.answered(id, head.status, &head.headers);
-        if !answered.echoed {
-            self.failed(&engine, "the answer is not to this request");
-            return Err(None);
-        }
-        if answered.not_run || answered.misdirected {
-            let named = answered.at_fault;
-            let at_fault = named.and_then(|address| self.pipeline.known.endpoint_at(address));
-            let at_fault = at_fault.unwrap_or_else(|| engine.identity());
-            self.log_send(&engine, "not_run", head.status.as_str());
-            self.attempts.rejected(at_fault);
-            return Err(None);
-        }
-        let encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
-        if !answered.signed || encoded {
-            self.failed(&engine, "the engine does not vouch for the answer");
-            return Err(None);
+        match answered {
+            Answered::Foreign => {
+                self.failed(&engine, FOREIGN);
+                return Err(None);
+            }
+            Answered::Unsigned => {
+                self.failed(&engine, UNSIGNED);
+                return Err(None);
+            }
+            Answered::NotRun(at_fault) => {
+                let named = at_fault.and_then(|address| self.pipeline.known.endpoint_at(address));
+                self.log_send(&engine, "not_run", head.status.as_str());
+                self.attempts
+                    .rejected(named.unwrap_or_else(|| engine.identity()));
+                return Err(None);
+            }
+            Answered::Genuine => {}
         }
         if !head.status.is_success() {
             self.failed(&engine, head.status.as_str());
@@ -271,17 +272,16 @@
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
             self.failed(&opened.engine, &reason);
             drop(opened);
-            let resumes = self.accepted.route.resumable && !expired;
-            let resumed = if resumes {
+            let continued = if self.accepted.route.resumable && !expired {
                 let after = splitter.last_id().map(str::to_owned);
                 tokio::select! {
-                    resumed = self.open(after.as_deref()) => resumed.ok(),
+                    next = self.open(after.as_deref()) => next.ok(),
                     () = sender.closed() => return,
                 }
             } else {
                 None
             };
-            let Some(next) = resumed else {
+            let Some(next) = continued else {
                 log::info!(
                     "event=broken_off request={} events={}",
                     self.accepted.id(),
@@ -364,52 +364,35 @@
     fn unreachable(&self, engine: &Entry, reason: &str) {
         self.log_send(engine, "unsent", reason);
         let now = self.pipeline.clock.now();
-        self.with_standing(engine.identity(), now, |standing, now| {
-            standing.unreachable(now)
-        });
+        self.with_standing(engine, |standing| standing.unreachable(now));
     }
 
     fn judge_engine(&self, engine: &Entry, fault: Option<&str>) {
         let now = self.pipeline.clock.now();
         let Some(reason) = fault else {
-            self.with_standing(engine.identity(), now, |standing, _| standing.succeeded());
+            self.with_standing(engine, Standing::succeeded);
             return;
         };
         self.log_send(engine, "failed", reason);
-        self.with_standing(engine.identity(), now, |standing, now| standing.failed(now));
+        self.with_standing(engine, |standing| standing.failed(now));
     }
 
-    fn with_standing(
-        &self,
-        engine: Identity,
-        now: Instant,
-        change: impl FnOnce(&mut kernel::outlier::Standing, Instant),
-    ) {
+    fn with_standing(&self, engine: &Entry, change: impl FnOnce(&mut Standing)) {
         let service = &self.accepted.service;
         self.pipeline
             .placer
-            .judge(service, engine, |standing| change(standing, now));
+            .judge(service, engine.identity(), change);
     }
 
     fn log_placed(&self, engine: &Entry, place: &Place) {
         log::info!(
-            "event=placed request={} engine={} prompt={} helpers={} waited_ms={} first_event_ms={} parts={:?}",
+            "event=placed request={} engine={} prompt={} helpers={} waited_ms={} first_event_ms={}",
             self.accepted.id(),
             engine.name,
             self.prompt,
             place.plan.helpers.len(),
             self.since_arrival().as_millis(),
-            place.plan.first_event.as_millis(),
-            place
-                .plan
-                .loads
-                .iter()
-                .map(|(engine, load)| (
-                    engine.0 % 997,
-                    load.work.as_millis(),
-                    load.read_by.since(self.pipeline.clock.now()).as_millis()
-                ))
-                .collect::<Vec<_>>()
+            place.plan.first_event.as_millis()
         );
     }
 
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -83,8 +83,11 @@
 }
 
 impl Held {
-    /// Keeps the connection for the next request.
-    fn give_back(mut self, idle: Duration) {
+    /// Keeps the connection for the next request, unless the other side closes it.
+    fn finish(mut self, headers: &HeaderMap) {
+        let Some(idle) = reusable_for(headers) else {
+            return;
+        };
         let Some(sender) = self.sender.take() else {
             return;
         };
@@ -236,14 +239,18 @@
 
 type Unsent = (Option<Request<Full<Bytes>>>, String);
 
-async fn exchange(mut held: Held, request: Request<Full<Bytes>>) -> Result<Exchange, Unsent> {
-    let Some(sender) = held.sender.as_mut() else {
+async fn exchange(mut connection: Held, request: Request<Full<Bytes>>) -> Result<Exchange, Unsent> {
+    let Some(sender) = connection.sender.as_mut() else {
         return Err((Some(request), "the connection is gone".to_owned()));
     };
     match sender.try_send_request(request).await {
-        Ok(response) => {
-            let (head, body) = response.into_parts();
-            Ok(Exchange { head, body, held })
+        Ok(answer) => {
+            let (head, incoming) = answer.into_parts();
+            Ok(Exchange {
+                head,
+                body: incoming,
+                held: connection,
+            })
         }
         Err(mut error) => {
             let unsent = error.take_message();
@@ -283,17 +290,14 @@
             }
             whole.extend_from_slice(&bytes);
         }
-        let head = self.finish();
+        let Self { head, held, .. } = self;
+        held.finish(&head.headers);
         Ok((head, whole.freeze()))
     }
 
     /// Keeps the connection after the body's end, unless the other side closes it.
-    pub fn finish(self) -> response::Parts {
-        let Self { head, held, .. } = self;
-        if let Some(idle) = reusable_for(&head.headers) {
-            held.give_back(idle);
-        }
-        head
+    pub fn finish(self) {
+        self.held.finish(&self.head.headers);
     }
 }
 
