--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -15,9 +15,8 @@
 /// Longest part that one engine reads, in milliseconds, unless more engines than one prompt may
 /// have would be needed: longer ones hold up what is placed there next.
 const LONGEST_PART_MS: f64 = 450.0;
-/// Factor by which parts may be longer than those of a prompt that all engines read: some engines
-/// are mostly taken.
-const SPARE_ENGINES: f64 = 1.25;
+/// Share of the engines that a prompt may be expected to find free.
+const FREE_SHARE: f64 = 0.8;
 /// Longest reading that may be placed before on an engine, in milliseconds: requests wait at the
 /// hosts, where a better place can still be found.
 const LONGEST_BACKLOG_MS: f64 = 100.0;
@@ -61,6 +60,8 @@
     pub pause: Duration,
     /// Rank; a lower number goes first.
     pub priority: u32,
+    /// Whether a part of the answer was delivered, so that its client waits in the middle of it.
+    pub begun: bool,
     /// Engines that already failed this request.
     pub excluded: Vec<Identity>,
 }
@@ -108,8 +109,8 @@
     /// The best plan that harms no running stream, or `None` when there is none now.
     pub fn plan(&self, ask: &Ask, waited: Duration) -> Option<Plan> {
         let total = self.speed.read_ms(ask.prompt);
-        let engines = self.engines.len().clamp(1, MOST_ENGINES);
-        let least = total / as_f64(engines as u64) * SPARE_ENGINES;
+        let engines = as_f64(self.engines.len() as u64) * FREE_SHARE;
+        let least = total / engines.min(as_f64(MOST_ENGINES as u64)).max(1.0);
         let patience = (1.0 + waited.as_secs_f64() * 1_000.0 / PATIENCE_MS).min(MOST_PATIENCE);
         let longest = LONGEST_PART_MS.max(least) * patience;
         let mut best: Option<(f64, Plan)> = None;
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -16,6 +16,8 @@
 const WAIT_SHARE: u32 = 3;
 /// Shortest time that a request waits, also when it can no longer be on time.
 const LEAST_WAIT: Duration = Duration::from_millis(250);
+/// Time that a request waits in the middle of its answer; clients leave after two seconds or more.
+const BEGUN_WAIT: Duration = Duration::from_millis(1_500);
 /// Weight of a request's reading against its time when it is due: short work goes first, since
 /// the worth of a prompt grows with its length but its reading with the square of it.
 const WORK_WEIGHT: u32 = 2;
@@ -130,7 +132,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         let speed = &self.speed;
         waiting.sort_by_key(|waiting| {
-            let late = waiting.ask.due <= now;
+            let late = waiting.ask.due <= now && !waiting.ask.begun;
             let work = Duration::from_secs_f64(speed.read_ms(waiting.ask.prompt) / 1_000.0);
             (
                 late,
@@ -166,7 +168,12 @@
             *blocked = Some(request.ask.pause);
         }
         let patience = request.ask.deadline.since(request.since) / WAIT_SHARE;
-        let due = request.ask.due.since(request.since).max(LEAST_WAIT);
+        let due = request.ask.due.since(request.since);
+        let due = due.max(if request.ask.begun {
+            BEGUN_WAIT
+        } else {
+            LEAST_WAIT
+        });
         let patience = patience.min(due);
         (now.since(request.since) >= patience).then(|| Verdict::Refuse(self.retry_after(now)))
     }
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -54,6 +54,7 @@
         deadline: now + Duration::from_millis(objective_ms * 10),
         pause: Duration::from_millis(pause_ms),
         priority: 1,
+        begun: false,
         excluded: Vec::new(),
     }
 }
@@ -188,6 +189,23 @@
     assert_eq!(pool.waiting(), 0);
 }
 
+/// A stream that broke off in the middle waits for another engine, also when it is late already.
+#[test]
+fn a_begun_answer_waits_longer_and_goes_first() {
+    let mut pool = pool(0);
+    let late = NOW + Duration::from_millis(400);
+    let begun = Ask {
+        begun: true,
+        ..short(NOW)
+    };
+    let ticket = pool.submit(begun, late);
+    pool.submit(short(late), late);
+    assert!(pool.assign(late + Duration::from_millis(280)).is_empty());
+    pool.set_engines(entries(1).iter());
+    let verdicts = pool.assign(late + Duration::from_secs(1));
+    assert!(matches!(verdicts[0], (first, Verdict::Start(..)) if first == ticket));
+}
+
 fn part(work_ms: u64, writes: bool) -> Load {
     Load {
         tokens: 1_000,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -62,6 +62,8 @@
     attempts: Attempts,
     prompt: u64,
     answer: u64,
+    /// Whether the client got the head of the answer.
+    begun: bool,
 }
 
 /// Serves one stream.
@@ -80,6 +82,7 @@
         accepted,
         prompt,
         answer,
+        begun: false,
     };
     let resume_after = job.accepted.asked.resume_after.clone();
     match job.open(resume_after.as_deref()).await {
@@ -99,7 +102,8 @@
 
 impl Job {
     /// Passes the first engine's head on and relays events in a task of their own.
-    fn answer(self, opened: Opened) -> Response<Body> {
+    fn answer(mut self, opened: Opened) -> Response<Body> {
+        self.begun = true;
         let (sender, receiver) = mpsc::channel(EVENTS_AHEAD);
         let mut response = Response::new(Body::Events(receiver));
         *response.status_mut() = opened.exchange.head.status;
@@ -141,6 +145,7 @@
             deadline: accepted.deadline,
             pause: self.pause(),
             priority: accepted.priority,
+            begun: self.begun,
             excluded: self.attempts.excluded().to_vec(),
         };
         let placing = self.pipeline.placer.place(&accepted.service, ask);
