--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's store: configurations, endpoints and hosts.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use kernel::catalogue::Configuration;
@@ -31,6 +32,8 @@
 ];
 /// Longest wait for an answer of the store beyond the time that it was asked to wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which a version that another host has should have come here too.
+const BEHIND_GRACE: Duration = Duration::from_millis(250);
 /// Wait after the first failed call; doubles up to [`BACKOFF_LONGEST`].
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait between two calls while the store fails.
@@ -45,8 +48,35 @@
     pub placer: Arc<Placer>,
     pub hosts: Arc<Hosts>,
     pub clock: Clock,
-    /// Wakes the follower of configurations when another host has a newer one.
-    pub behind: Arc<Notify>,
+    /// Tells the follower of configurations that another host has a newer one.
+    pub behind: Arc<Behind>,
+}
+
+/// The newest version that other hosts have in force.
+#[derive(Default)]
+pub struct Behind {
+    heard: AtomicU64,
+    woken: Notify,
+}
+
+impl Behind {
+    /// Notes the version of another host.
+    pub fn hear(&self, version: u64) {
+        if self.heard.fetch_max(version, Ordering::Relaxed) < version {
+            self.woken.notify_one();
+        }
+    }
+
+    /// Returns when this host has lacked a version of another one for a while.
+    async fn lagging(&self, known: &Known) {
+        loop {
+            self.woken.notified().await;
+            sleep(BEHIND_GRACE).await;
+            if known.version() < self.heard.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+    }
 }
 
 /// Where one topic is read next, and since when it cannot be read.
@@ -75,7 +105,8 @@
         loop {
             let read = tokio::select! {
                 read = self.read(&mut cursor, CONFIGURATION_WAIT) => read,
-                () = self.behind.notified() => {
+                () = self.behind.lagging(&self.known) => {
+                    // The connection on which changes are waited for may have gone silent.
                     cursor.next = None;
                     continue;
                 }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -9,12 +9,12 @@
 use kernel::name::Host;
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::time::sleep;
 use wire::datagram;
 use wire::placement::{Item, Placements, Scope};
 
 use crate::clock::Clock;
+use crate::follow::Behind;
 use crate::known::Known;
 use crate::placer::Placer;
 
@@ -48,11 +48,11 @@
     known: Arc<Known>,
     placer: Arc<Placer>,
     peers: Mutex<HashMap<Host, Peer>>,
-    behind: Arc<Notify>,
+    behind: Arc<Behind>,
 }
 
 impl Hosts {
-    /// No other host is known yet; `behind` is notified when one has a newer configuration.
+    /// No other host is known yet; `behind` is told of their configurations' versions.
     #[must_use]
     pub fn new(
         own: Host,
@@ -61,7 +61,7 @@
         clock: Clock,
         known: Arc<Known>,
         placer: Arc<Placer>,
-        behind: Arc<Notify>,
+        behind: Arc<Behind>,
     ) -> Self {
         Self {
             own,
@@ -232,9 +232,7 @@
                 self.placer.drop_holder(before);
             }
         }
-        if frame.version > self.known.version() {
-            self.behind.notify_one();
-        }
+        self.behind.hear(frame.version);
         self.placer.heard(frame);
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,7 +16,6 @@
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -24,7 +23,7 @@
 use crate::border::{Dialect, Memory, Store};
 use crate::budget::Budgets;
 use crate::clock::Clock;
-use crate::follow::Follower;
+use crate::follow::{Behind, Follower};
 use crate::front::{Front, Stage};
 use crate::hosts::Hosts;
 use crate::known::Known;
@@ -85,7 +84,7 @@
         let domain = Domain::from(settings.domain.as_str());
         let known = Arc::new(Known::default());
         let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
-        let behind = Arc::new(Notify::new());
+        let behind = Arc::new(Behind::default());
         let hosts = Arc::new(Hosts::new(
             Host::from(settings.host.as_str()),
             holder,
