--- a/bin/filbertctl/src/cmd/demo.rs
+++ b/bin/filbertctl/src/cmd/demo.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::arguments::{Arguments, Error};
-use super::{EXIT_FAILED, runtime, told_to_end};
+use super::{EXIT_FAILED, demo_platform, runtime, told_to_end};
 use crate::caller::{self, Ask, End, Seen};
 use crate::fleet::{self, BOOKING, Fleet, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::scenario;
@@ -19,12 +19,14 @@
 
 Options:
       --stay       Leave it running and print a line to try
+      --platform   Run a host that routes by a catalogue, before stand-ins of the users' platform,
+                   and serve one request of each kind
       --json       Print JSON
       --log LEVEL  Show logs of this level
 
 Exit codes: 0 all answers were whole, 1 some were not, 2 usage
 ";
-pub const FLAGS: &[&str] = &["stay"];
+pub const FLAGS: &[&str] = &["stay", "platform"];
 
 /// Engines of the demo run this many times faster than real ones.
 const SCALE: u32 = 20;
@@ -45,6 +47,9 @@
 }
 
 pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
+    if arguments.flag("platform") {
+        return runtime()?.block_on(demo_platform::run(arguments.flag("json")));
+    }
     runtime()?.block_on(demo(arguments.flag("json"), arguments.flag("stay")))
 }
 
--- a/bin/filbertctl/src/cmd/mod.rs
+++ b/bin/filbertctl/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod cost;
 mod demo;
+mod demo_platform;
 mod explain;
 mod figures;
 mod load;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -90,9 +90,11 @@
         Err(NotOpened::Failed(head, body)) => pass_on(&head, body),
         Err(NotOpened::GaveUp(gave_up)) => {
             log::info!(
-                "event=gave_up request={} sends={} reason=\"{}\"",
+                "event=gave_up request={} prompt={} sends={} after_ms={} reason=\"{}\"",
                 job.accepted.id(),
+                job.prompt,
                 job.attempts.sent(),
+                job.since_arrival().as_millis(),
                 gave_up.as_str()
             );
             job.attempts.answer(gave_up)
