Requests that came back are known by the time that they have left

Cause: a client that came back after a refusal was taken for a fresh one: it held up fresh requests and was refused again when it seemed due, which its client does not repeat (most of the price of refusals).

--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -72,6 +72,13 @@
         self.asked.id.as_deref().unwrap_or("-")
     }
 
+    /// How long the client has waited before this attempt: clients start with the time-out of the
+    /// route, and those that wait less have asked before.
+    pub fn age(&self) -> Duration {
+        let remaining = self.asked.remaining.unwrap_or(self.route.timeout);
+        self.route.timeout.saturating_sub(remaining)
+    }
+
     /// The request as an endpoint gets it.
     pub fn outgoing(&self, dialect: &dyn Dialect, sending: &Sending<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,6 +26,8 @@
 const FIRST_SLACK: Duration = Duration::from_millis(1_200);
 /// Time beyond the allowed pause after which a stream counts as silent; clients leave after 2 s.
 const PAUSE_SLACK: Duration = Duration::from_millis(1_200);
+/// Age from which a request counts as one that was refused before and came back.
+const RETURNED_AGE: Duration = Duration::from_millis(150);
 /// Events that wait for a client that reads slowly; then its engine is no longer read.
 const EVENTS_AHEAD: usize = 4;
 /// Largest body of an engine's failure that is passed on, in bytes.
@@ -143,7 +145,8 @@
         let ask = Ask {
             prompt: self.prompt,
             answer: self.answer,
-            due: accepted.arrived + accepted.route.objective,
+            due: accepted.arrived + accepted.route.objective.saturating_sub(accepted.age()),
+            returned: accepted.age() > RETURNED_AGE,
             deadline: accepted.deadline,
             pause: self.pause(),
             priority: accepted.priority,
