Unreachable engines are left out without a floor, and a domain that is cut off as a whole

Cause: with a domain cut off, 14 of 21 engines are unreachable from one domain; as they were most of all, none was left out, and each request tried some for 0.4 to 1.4 s. Test: a_domain_that_is_cut_off_is_left_out.

--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -9,6 +9,7 @@
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
 use crate::name::Domain;
+use crate::outlier::{Judgement, Partition};
 
 /// Time past its predicted end after which a load that nobody renewed is dropped.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
@@ -52,6 +53,7 @@
     engines: HashMap<Identity, Engine>,
     waiting: Vec<Waiting>,
     tickets: u64,
+    partition: Partition,
 }
 
 impl Pool {
@@ -66,6 +68,7 @@
             engines: HashMap::new(),
             waiting: Vec::new(),
             tickets: 0,
+            partition: Partition::default(),
         }
     }
 
@@ -92,6 +95,14 @@
         }
     }
 
+    /// Notes how an engine dealt with a request.
+    pub fn judge(&mut self, identity: Identity, how: Judgement, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(&identity) {
+            engine.standing.note(how, now);
+            self.partition.note(&engine.domain, identity, how, now);
+        }
+    }
+
     /// The engine of this identity.
     pub fn engine_mut(&mut self, identity: Identity) -> Option<&mut Engine> {
         self.engines.get_mut(&identity)
@@ -142,7 +153,7 @@
         });
         let mut blocked: Option<Duration> = None;
         for request in waiting {
-            let verdict = self.judge(&request, &mut blocked, now);
+            let verdict = self.decide(&request, &mut blocked, now);
             match verdict {
                 Some(verdict) => verdicts.push((request.ticket, verdict)),
                 None => self.waiting.push(request),
@@ -153,7 +164,7 @@
 
     /// `blocked` is the tightest pause among requests that found no place in this round: those
     /// that are as tight and as large would find none either.
-    fn judge(
+    fn decide(
         &mut self,
         request: &Waiting,
         blocked: &mut Option<Duration>,
@@ -179,23 +190,34 @@
     }
 
     fn plan(&self, ask: &Ask, waited: Duration, now: Instant) -> Option<Plan> {
-        let view = |avoid: bool| View {
-            engines: self
-                .engines
-                .values()
-                .filter(|engine| !(avoid && engine.standing.avoided(now)))
-                .collect(),
+        let reached: Vec<_> = self
+            .engines
+            .values()
+            .filter(|engine| !engine.standing.silent(now))
+            .filter(|engine| !self.partition.avoids(&engine.domain, now))
+            .collect();
+        let reached = if reached.is_empty() {
+            self.engines.values().collect()
+        } else {
+            reached
+        };
+        let sound = reached.iter().copied();
+        let sound: Vec<_> = sound
+            .filter(|engine| !engine.standing.avoided(now))
+            .collect();
+        // When most engines fail, the judgement is doubted rather than the engines.
+        let engines = if sound.len() * 2 >= reached.len() {
+            sound
+        } else {
+            reached
+        };
+        let view = View {
+            engines,
             speed: &self.speed,
             domain: &self.domain,
             now,
         };
-        let sound = view(true);
-        // When most engines look bad, the judgement is doubted rather than the engines.
-        let plan = if sound.engines.len() * 2 >= self.engines.len() {
-            sound.plan(ask, waited)
-        } else {
-            view(false).plan(ask, waited)
-        };
+        let plan = view.plan(ask, waited);
         plan.filter(|plan| now + plan.first_event < ask.deadline)
     }
 
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbertstage_kernel::catalogue::{Entry, Identity, Profile, State};
+use filbertstage_kernel::outlier::Judgement;
 use filbertstage_kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
 use filbertstage_kernel::prelude::*;
 use rstest::rstest;
@@ -285,8 +286,8 @@
     let mut pool = pool(4);
     let bad: Vec<_> = entries(4)[..failing].iter().map(Entry::identity).collect();
     for identity in &bad {
-        let engine = pool.engine_mut(*identity).expect("known");
-        engine.standing.unreachable(NOW);
+        pool.judge(*identity, Judgement::Failed, NOW);
+        pool.judge(*identity, Judgement::Failed, NOW);
     }
     let mut touched = false;
     for _ in 0..12 {
@@ -296,3 +297,29 @@
     }
     assert_eq!(touched, used);
 }
+
+/// A domain is cut off: after three of its engines fell silent, none of them is tried for a while,
+/// though they are the most of all engines.
+#[test]
+fn a_domain_that_is_cut_off_is_left_out() {
+    let mut entries = entries(21);
+    for (index, entry) in entries.iter_mut().enumerate() {
+        let domain = if index < 7 { "cannock" } else { "sherwood" };
+        entry.domain = Domain::from(domain);
+    }
+    let mut pool = pool(0);
+    pool.set_engines(entries.iter());
+    let near: Vec<_> = entries[..7].iter().map(Entry::identity).collect();
+    for far in &entries[7..10] {
+        pool.judge(far.identity(), Judgement::Silent, NOW);
+    }
+    for _ in 0..20 {
+        if let Some((_, plan)) = start(&mut pool, short(NOW), NOW) {
+            assert!(near.contains(&plan.first));
+        }
+    }
+    let later = NOW + Duration::from_millis(1_600);
+    pool.judge(entries[12].identity(), Judgement::Succeeded, later);
+    let (_, plan) = start(&mut pool, long(300_000, later), later).expect("a place");
+    assert!(plan.loads.iter().any(|(engine, _)| !near.contains(engine)));
+}
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -7,7 +7,7 @@
 use kernel::catalogue::{Entry, Identity, Profile};
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service};
-use kernel::outlier::Standing;
+use kernel::outlier::Judgement;
 use kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -195,14 +195,11 @@
         }
     }
 
-    /// Changes the standing of an engine.
-    pub fn judge(&self, service: &Service, engine: Identity, with: impl FnOnce(&mut Standing)) {
-        let mut slots = self.slots.lock();
-        let engine = slots
-            .get_mut(service)
-            .and_then(|slot| slot.pool.engine_mut(engine));
-        if let Some(engine) = engine {
-            with(&mut engine.standing);
+    /// Notes how an engine dealt with a request.
+    pub fn judge(&self, service: &Service, engine: Identity, how: Judgement) {
+        let now = self.clock.now();
+        if let Some(slot) = self.slots.lock().get_mut(service) {
+            slot.pool.judge(engine, how, now);
         }
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,7 +7,7 @@
 use http::{Response, response};
 use kernel::catalogue::{Entry, Profile};
 use kernel::event::Splitter;
-use kernel::outlier::Standing;
+use kernel::outlier::Judgement;
 use kernel::place::Ask;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -48,6 +48,7 @@
     Whole,
     ClientLeft,
     Expired,
+    Silent,
     Broken(String),
 }
 
@@ -204,17 +205,18 @@
         match sent {
             Ok(Ok(exchange)) => self.judge(exchange, place, engine, reservations).await,
             Ok(Err(Failure::Unsent(reason))) => {
-                self.unreachable(&engine, &reason);
+                self.log_send(&engine, "unsent", &reason);
+                self.judge_engine(&engine, Judgement::Silent);
                 self.attempts.unsent(engine.identity());
                 Err(None)
             }
             Ok(Err(Failure::Uncertain(reason))) => {
-                self.failed(&engine, &reason);
+                self.failed(&engine, Judgement::Failed, &reason);
                 Err(None)
             }
             Err(_) => {
                 pipeline.dialer.reset(engine.address);
-                self.failed(&engine, "no answer in time");
+                self.failed(&engine, Judgement::Silent, "no answer in time");
                 Err(None)
             }
         }
@@ -234,11 +236,11 @@
         let answered = dialect.answered(id, head.status, &head.headers);
         match answered {
             Answered::Foreign => {
-                self.failed(&engine, FOREIGN);
+                self.failed(&engine, Judgement::Failed, FOREIGN);
                 return Err(None);
             }
             Answered::Unsigned => {
-                self.failed(&engine, UNSIGNED);
+                self.failed(&engine, Judgement::Failed, UNSIGNED);
                 return Err(None);
             }
             Answered::NotRun(at_fault) => {
@@ -251,7 +253,7 @@
             Answered::Genuine => {}
         }
         if !head.status.is_success() {
-            self.failed(&engine, head.status.as_str());
+            self.failed(&engine, Judgement::Failed, head.status.as_str());
             let collected = timeout(FIRST_SLACK, exchange.collect(FAILURE_BYTES)).await;
             return Err(collected.ok().and_then(Result::ok));
         }
@@ -268,19 +270,20 @@
         let mut splitter = Splitter::after(self.accepted.asked.resume_after.as_deref());
         loop {
             let end = self.pump(&mut opened, &mut splitter, &sender).await;
-            let reason = match end {
+            let (how, reason) = match end {
                 End::Whole => {
-                    self.judge_engine(&opened.engine, None);
+                    self.judge_engine(&opened.engine, Judgement::Succeeded);
                     opened.exchange.finish();
                     return;
                 }
                 End::ClientLeft => return,
-                End::Expired => "the request's time has passed".to_owned(),
-                End::Broken(reason) => reason,
+                End::Expired => (Judgement::Failed, GaveUp::Expired.as_str().to_owned()),
+                End::Broken(reason) => (Judgement::Failed, reason),
+                End::Silent => (Judgement::Silent, "no event in time".to_owned()),
             };
             splitter.discard_torn();
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
-            self.failed(&opened.engine, &reason);
+            self.failed(&opened.engine, how, &reason);
             drop(opened);
             let continued = if self.accepted.route.resumable && !expired {
                 let after = splitter.last_id().map(str::to_owned);
@@ -341,7 +344,7 @@
                 Err(_) if silence >= left => return End::Expired,
                 Err(_) => {
                     self.pipeline.dialer.reset(opened.engine.address);
-                    return End::Broken("no event in time".to_owned());
+                    return End::Silent;
                 }
             };
             let Some(events) = splitter.feed(&bytes) else {
@@ -366,32 +369,17 @@
         }
     }
 
-    fn failed(&mut self, engine: &Entry, reason: &str) {
-        self.judge_engine(engine, Some(reason));
-        self.attempts.ran(engine.identity());
-    }
-
-    fn unreachable(&self, engine: &Entry, reason: &str) {
-        self.log_send(engine, "unsent", reason);
-        let now = self.pipeline.clock.now();
-        self.with_standing(engine, |standing| standing.unreachable(now));
-    }
-
-    fn judge_engine(&self, engine: &Entry, fault: Option<&str>) {
-        let now = self.pipeline.clock.now();
-        let Some(reason) = fault else {
-            self.with_standing(engine, Standing::succeeded);
-            return;
-        };
+    /// Notes a run that failed, or may have.
+    fn failed(&mut self, engine: &Entry, how: Judgement, reason: &str) {
         self.log_send(engine, "failed", reason);
-        self.with_standing(engine, |standing| standing.failed(now));
+        self.judge_engine(engine, how);
+        self.attempts.ran(engine.identity());
     }
 
-    fn with_standing(&self, engine: &Entry, change: impl FnOnce(&mut Standing)) {
+    fn judge_engine(&self, engine: &Entry, how: Judgement) {
         let service = &self.accepted.service;
-        self.pipeline
-            .placer
-            .judge(service, engine.identity(), change);
+        let identity = engine.identity();
+        self.pipeline.placer.judge(service, identity, how);
     }
 
     fn log_placed(&self, engine: &Entry, place: &Place) {
