--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -60,8 +60,6 @@
     pub pause: Duration,
     /// Rank; a lower number goes first.
     pub priority: u32,
-    /// Whether the client came back after a refusal.
-    pub returned: bool,
     /// Whether a part of the answer was delivered, so that its client waits in the middle of it.
     pub begun: bool,
     /// Engines that already failed this request.
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -55,7 +55,6 @@
         deadline: now + Duration::from_millis(objective_ms * 10),
         pause: Duration::from_millis(pause_ms),
         priority: 1,
-        returned: false,
         begun: false,
         excluded: Vec::new(),
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,8 +26,6 @@
 const FIRST_SLACK: Duration = Duration::from_millis(1_200);
 /// Time beyond the allowed pause after which a stream counts as silent; clients leave after 2 s.
 const PAUSE_SLACK: Duration = Duration::from_millis(1_200);
-/// Age from which a request counts as one that was refused before and came back.
-const RETURNED_AGE: Duration = Duration::from_millis(150);
 /// Events that wait for a client that reads slowly; then its engine is no longer read.
 const EVENTS_AHEAD: usize = 4;
 /// Largest body of an engine's failure that is passed on, in bytes.
@@ -93,11 +91,15 @@
         Err(NotOpened::Failed(head, body)) => pass_on(&head, body),
         Err(NotOpened::GaveUp(gave_up)) => {
             log::info!(
-                "event=gave_up request={} prompt={} sends={} after_ms={} reason=\"{}\"",
+                "event=gave_up request={} prompt={} sends={} after_ms={} left_ms={} reason=\"{}\"",
                 job.accepted.id(),
                 job.prompt,
                 job.attempts.sent(),
                 job.since_arrival().as_millis(),
+                job.accepted
+                    .deadline
+                    .since(job.pipeline.clock.now())
+                    .as_millis(),
                 gave_up.as_str()
             );
             job.attempts.answer(gave_up)
@@ -147,7 +149,6 @@
             prompt: self.prompt,
             answer: self.answer,
             due: accepted.arrived + accepted.route.objective.saturating_sub(accepted.age()),
-            returned: accepted.age() > RETURNED_AGE,
             deadline: accepted.deadline,
             pause: self.pause(),
             priority: accepted.priority,
