A silent engine is kept until another one takes over

Ruled out: the end of the grace time, which was five seconds away. Now the other engine is looked for while the silent one is still read, and the last allowed send is waited for as long as the client waits.

--- a/crates/fakes/src/site/worker.rs
+++ b/crates/fakes/src/site/worker.rs
@@ -25,6 +25,8 @@
     BreakAfter(u64),
     /// Falls silent after this many events, and keeps the connection.
     SilentAfter(u64),
+    /// Pauses for longer than a stream may after this many events, and goes on.
+    PauseAfter(u64),
     /// Runs the request and closes the connection without an answer.
     LoseAnswer,
     /// Answers with the answer to another request.
@@ -182,6 +184,7 @@
                         let _ = sender.send(Err(Broken::Off)).await;
                         return;
                     }
+                    Some(Fault::PauseAfter(events)) if events == sent => sleep(LONG_PAUSE).await,
                     Some(Fault::SilentAfter(events)) if events == sent => {
                         return sender.closed().await;
                     }
@@ -197,6 +200,8 @@
     }
 }
 
+/// A pause after which a stream counts as silent.
+const LONG_PAUSE: Duration = Duration::from_millis(3_500);
 /// Time of one event, of a few writers.
 const EVENT_TIME: Duration = Duration::from_millis(45);
 
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -79,6 +79,13 @@
         self.may_run > 0 && self.rejections > 0 && (self.repeatable || !self.maybe_ran)
     }
 
+    /// Whether another send would be allowed if the present one may have run: its silence is no
+    /// reason to end the last one.
+    #[must_use]
+    pub const fn allowed_after(&self) -> bool {
+        self.repeatable && self.may_run > 1 && self.rejections > 0
+    }
+
     /// Takes one more send; a repeat draws on the budget.
     pub fn take(&mut self, budgets: &Budgets, service: &Service) -> bool {
         if !self.allowed() || (self.sent > 0 && !budgets.withdraw(service)) {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -69,7 +69,7 @@
             break GaveUp::Exhausted;
         }
         let endpoint = entry.identity();
-        let sent = send(pipeline, accepted, &entry).await;
+        let sent = send(pipeline, accepted, &entry, attempts.allowed_after()).await;
         note(pipeline, accepted, &entry, &sent);
         match sent {
             Sent::Answer(head, body) => return pass_on(&head, body),
@@ -105,7 +105,7 @@
     picked.cloned()
 }
 
-async fn send(pipeline: &Pipeline, accepted: &Accepted, entry: &Entry) -> Sent {
+async fn send(pipeline: &Pipeline, accepted: &Accepted, entry: &Entry, others_left: bool) -> Sent {
     let _running = Running::start(pipeline, entry.identity());
     let remaining = accepted.deadline.since(pipeline.clock.now());
     let sending = Sending {
@@ -116,7 +116,7 @@
         helpers: &[],
     };
     let request = accepted.outgoing(&*pipeline.dialect, &sending);
-    let limit = if accepted.route.repeatable() {
+    let limit = if others_left {
         remaining.min(accepted.route.objective * SILENCE_OBJECTIVES)
     } else {
         remaining
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -33,6 +33,11 @@
 /// Pause between events where the route names none.
 const USUAL_PAUSE: Duration = Duration::from_millis(500);
 
+/// Reason for a stream that ended inside an event.
+const TORN: &str = "ended inside an event";
+/// Reason for a stream with an event beyond every bound.
+const ENDLESS: &str = "an event has no end";
+
 /// A stream that an engine has begun.
 struct Opened {
     exchange: Exchange,
@@ -201,7 +206,11 @@
         };
         self.log_placed(&engine, &place);
         let request = self.accepted.outgoing(&*pipeline.dialect, &sending);
-        let limit = remaining.min(place.plan.first_event * 2 + FIRST_SLACK);
+        let limit = if self.attempts.allowed_after() {
+            remaining.min(place.plan.first_event * 2 + FIRST_SLACK)
+        } else {
+            remaining
+        };
         let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
         match sent {
             Ok(Ok(exchange)) => self.judge(exchange, place, engine, reservations).await,
@@ -269,24 +278,38 @@
     /// Relays a stream to its end, over several engines where needed.
     async fn relay(mut self, mut opened: Opened, sender: mpsc::Sender<Result<Bytes, Broken>>) {
         let mut splitter = Splitter::after(self.accepted.asked.resume_after.as_deref());
+        let resumable = self.accepted.route.resumable;
+        let mut patient = !resumable;
         loop {
-            let end = self.pump(&mut opened, &mut splitter, &sender).await;
-            let (how, reason) = match end {
+            let mut end = self
+                .pump(&mut opened, &mut splitter, &sender, patient)
+                .await;
+            if matches!(end, End::Silent) {
+                self.failed(&opened.engine, Judgement::Silent, "no event in time");
+                match self.replace(&mut opened, &mut splitter, &sender).await {
+                    Some(ended) => end = ended,
+                    None => continue,
+                }
+                if matches!(end, End::Silent) {
+                    patient = true;
+                    continue;
+                }
+            }
+            let reason = match end {
                 End::Whole => {
                     self.judge_engine(&opened.engine, Judgement::Succeeded);
                     opened.exchange.finish();
                     return;
                 }
                 End::ClientLeft => return,
-                End::Expired => (Judgement::Failed, GaveUp::Expired.as_str().to_owned()),
-                End::Broken(reason) => (Judgement::Failed, reason),
-                End::Silent => (Judgement::Silent, "no event in time".to_owned()),
+                End::Expired | End::Silent => GaveUp::Expired.as_str().to_owned(),
+                End::Broken(reason) => reason,
             };
             splitter.discard_torn();
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
-            self.failed(&opened.engine, how, &reason);
+            self.failed(&opened.engine, Judgement::Failed, &reason);
             drop(opened);
-            let continued = if self.accepted.route.resumable && !expired {
+            let continued = if resumable && !expired {
                 let after = splitter.last_id().map(str::to_owned);
                 tokio::select! {
                     next = self.open(after.as_deref()) => next.ok(),
@@ -305,28 +328,76 @@
                 let _ = sender.send(Err(Broken::Off)).await;
                 return;
             };
-            log::info!(
-                "event=resumed request={} engine={} events={}",
-                self.accepted.id(),
-                next.engine.name,
-                splitter.events()
-            );
+            self.log_resumed(&next, &splitter);
             opened = next;
+            patient = false;
         }
     }
 
-    /// Relays the events of one engine.
+    /// Looks for another engine in place of a silent one, which is kept until one is found and
+    /// whose events still count.
+    ///
+    /// Returns `None` when another engine took over, and otherwise how the silent one ended, with
+    /// [`End::Silent`] when it is to be waited for.
+    async fn replace(
+        &mut self,
+        opened: &mut Opened,
+        splitter: &mut Splitter,
+        sender: &mpsc::Sender<Result<Bytes, Broken>>,
+    ) -> Option<End> {
+        let after = splitter.last_id().map(str::to_owned);
+        let late = tokio::select! {
+            () = sender.closed() => return Some(End::ClientLeft),
+            late = opened.exchange.next() => late,
+            next = self.open(after.as_deref()) => {
+                let Ok(next) = next else {
+                    return Some(End::Silent);
+                };
+                self.log_resumed(&next, splitter);
+                splitter.discard_torn();
+                *opened = next;
+                return None;
+            }
+        };
+        Some(match late {
+            Ok(Some(bytes)) => match splitter.feed(&bytes) {
+                Some(events) if events.is_empty() => End::Silent,
+                Some(events) => match sender.send(Ok(events.into())).await {
+                    Ok(()) => End::Silent,
+                    Err(_) => End::ClientLeft,
+                },
+                None => End::Broken(ENDLESS.to_owned()),
+            },
+            Ok(None) if splitter.is_torn() => End::Broken(TORN.to_owned()),
+            Ok(None) => End::Whole,
+            Err(failure) => End::Broken(failure.to_string()),
+        })
+    }
+
+    fn log_resumed(&self, next: &Opened, splitter: &Splitter) {
+        log::info!(
+            "event=resumed request={} engine={} events={}",
+            self.accepted.id(),
+            next.engine.name,
+            splitter.events()
+        );
+    }
+
+    /// Relays the events of one engine; a patient one waits for them as long as the client does.
     async fn pump(
         &self,
         opened: &mut Opened,
         splitter: &mut Splitter,
         sender: &mpsc::Sender<Result<Bytes, Broken>>,
+        patient: bool,
     ) -> End {
         let mut read = false;
         let mut last = self.pipeline.clock.now();
         loop {
             let left = self.accepted.deadline.since(self.pipeline.clock.now());
-            let silence = if read {
+            let silence = if patient {
+                left
+            } else if read {
                 self.pause() + PAUSE_SLACK
             } else {
                 opened.place.plan.first_event * 2 + FIRST_SLACK
@@ -338,7 +409,7 @@
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) if splitter.is_torn() => {
-                    return End::Broken("ended inside an event".to_owned());
+                    return End::Broken(TORN.to_owned());
                 }
                 Ok(Ok(None)) => return End::Whole,
                 Ok(Err(failure)) => return End::Broken(failure.to_string()),
@@ -349,7 +420,7 @@
                 }
             };
             let Some(events) = splitter.feed(&bytes) else {
-                return End::Broken("an event has no end".to_owned());
+                return End::Broken(ENDLESS.to_owned());
             };
             if events.is_empty() {
                 continue;
