Readings of the store follow the bounds of the settings; one set of loopback settings

Found on reading the whole change: the bounds stood in the settings and fixed times in the code, and the demo and the tests built the same settings twice.

--- a/bin/filbertctl/src/cmd/demo_platform.rs
+++ b/bin/filbertctl/src/cmd/demo_platform.rs
@@ -1,6 +1,6 @@
 //! `filbertctl demo --platform`: a host that routes by a published catalogue, before stand-ins.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -154,16 +154,7 @@
 }
 
 async fn host(site: &Site) -> std::io::Result<Relay> {
-    let mut settings = Settings {
-        host: "entry-1".to_owned(),
-        domain: "cannock".to_owned(),
-        ..Settings::default()
-    };
-    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    settings.listen.clients = free;
-    settings.listen.readiness = free;
-    settings.listen.hosts = free;
-    settings.platform.address = site.address();
+    let settings = Settings::loopback("entry-1", "cannock", site.address());
     let dialer = Dialer::default();
     let platform = Platform::new(site.address(), dialer.clone());
     Relay::start(&settings, platform.outside(), dialer).await
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -16,12 +16,12 @@
 use crate::known::Known;
 use crate::placer::Placer;
 
-/// Longest time that a question for configurations waits at the store: a connection that went
-/// silent is noticed after it, well within the time in which a version must be in force.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2_500);
-/// Time between two readings of the endpoints' entries: half of the time in which an endpoint that
-/// leaves must get nothing more, less the reading itself.
-const ENDPOINTS_PERIOD: Duration = Duration::from_millis(850);
+/// Time beyond the bound of a configuration for which a question waits at the store: a connection
+/// that went silent is noticed after it.
+const CONFIGURATION_SLACK: Duration = Duration::from_millis(500);
+/// Readings of the endpoints' entries in the time in which an endpoint that leaves must get nothing
+/// more: two, and time for the readings themselves.
+const READINGS: f64 = 2.35;
 /// Time between two readings of the hosts; a new host also greets the others by itself.
 const HOSTS_PERIOD: Duration = Duration::from_secs(10);
 /// Times between the first readings of the hosts, which start together.
@@ -48,6 +48,10 @@
     pub placer: Arc<Placer>,
     pub hosts: Arc<Hosts>,
     pub clock: Clock,
+    /// Time within which a configuration must be in force.
+    pub apply: Duration,
+    /// Time within which an endpoint that leaves must get nothing more.
+    pub drain: Duration,
     /// Tells the follower of configurations that another host has a newer one.
     pub behind: Arc<Behind>,
 }
@@ -104,7 +108,7 @@
         let mut cursor = Cursor::new(Topic::Configuration);
         loop {
             let read = tokio::select! {
-                read = self.read(&mut cursor, CONFIGURATION_WAIT) => read,
+                read = self.read(&mut cursor, self.apply + CONFIGURATION_SLACK) => read,
                 () = self.behind.lagging(&self.known) => {
                     // The connection on which changes are waited for may have gone silent.
                     cursor.next = None;
@@ -170,7 +174,7 @@
 
     /// Waits until the entries are read again, and drops those that lapse meanwhile in time.
     async fn rest(&self) {
-        let until = self.clock.now() + ENDPOINTS_PERIOD;
+        let until = self.clock.now() + self.drain.div_f64(READINGS);
         loop {
             let expiry = self.known.directory(|directory| directory.next_expiry());
             let next = expiry.map_or(until, |expiry| expiry.min(until));
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -112,6 +112,8 @@
             placer: Arc::clone(&placer),
             hosts: Arc::clone(&hosts),
             clock,
+            apply: Duration::from_millis(settings.times.apply_ms),
+            drain: Duration::from_millis(settings.times.drain_ms),
             behind,
         });
         let front = Arc::new(Front::new(Arc::clone(&pipeline), clock));
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -161,6 +161,23 @@
         Err(Problems(problems))
     }
 
+    /// Settings of a host on free loopback ports, before the store at `store`.
+    #[must_use]
+    pub fn loopback(host: &str, domain: &str, store: SocketAddr) -> Self {
+        let free = SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 0));
+        Self {
+            host: host.to_owned(),
+            domain: domain.to_owned(),
+            listen: Listen {
+                clients: free,
+                readiness: free,
+                hosts: free,
+            },
+            platform: Platform { address: store },
+            ..Self::default()
+        }
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub const fn grace(&self) -> Duration {
