Ambiguous heads get their 400; answers are flushed also when more was sent behind them

Cause: the front held answers back while unread bytes stood in the buffer, which a head that cannot be parsed always leaves; so the connection closed without the 400. The same held back the events of a stream behind which a client had sent its next request. Ruled out: a reset by unread bytes. Test: platform/tests/smuggling.rs, two of whose cases failed before.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -177,8 +177,7 @@
         builder
             .max_buf_size(BUFFER_BYTES)
             .max_headers(HEADERS)
-            .header_read_timeout(None)
-            .pipeline_flush(true);
+            .header_read_timeout(None);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
