--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -5,7 +5,7 @@
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
 use crate::name::Domain;
-use crate::outlier::Standing;
+use crate::outlier::{Judgement, Standing};
 
 /// Running requests that one more failure domain's distance counts as.
 const DISTANCE: f64 = 0.25;
@@ -81,9 +81,10 @@
         }
     }
 
-    /// How the endpoint answered lately.
-    pub fn standing(&mut self, identity: Identity) -> &mut Standing {
-        &mut self.known.entry(identity).or_default().standing
+    /// Notes how an endpoint dealt with a request.
+    pub fn judge(&mut self, identity: Identity, how: Judgement, now: Instant) {
+        let known = self.known.entry(identity).or_default();
+        known.standing.note(how, now);
     }
 
     /// Forgets endpoints that `keep` refuses and that run nothing.
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -89,12 +89,12 @@
     }
 
     /// Notes a good answer.
-    pub fn succeeded(&mut self) {
+    fn succeeded(&mut self) {
         *self = Self::default();
     }
 
     /// Notes a failure that speaks against the endpoint.
-    pub fn failed(&mut self, now: Instant) {
+    fn failed(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         self.silent = false;
         if let Some(over) = self.failures.checked_sub(FAILURES) {
@@ -103,7 +103,7 @@
     }
 
     /// Notes that the endpoint could not be reached, which alone leaves it out.
-    pub fn unreachable(&mut self, now: Instant) {
+    fn unreachable(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         self.silent = true;
         self.avoid(now, self.failures - 1);
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -116,7 +116,7 @@
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = ((total / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
-        for count in 1..=most.max(1) {
+        for count in 1..=most {
             if total / as_f64(count as u64) > longest {
                 continue;
             }
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -162,8 +162,8 @@
         verdicts
     }
 
-    /// `blocked` is the tightest pause among requests that found no place in this round: those
-    /// that are as tight and as large would find none either.
+    /// `blocked` is the pause of the last request that found no place in this round: requests with
+    /// the same pause, which come after it in the order, are not tried.
     fn decide(
         &mut self,
         request: &Waiting,
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -95,7 +95,7 @@
         true
     }
 
-    /// Notes that the endpoint did not run the request.
+    /// Notes that the endpoint did not run the request, or cannot be sent it.
     pub fn rejected(&mut self, endpoint: Identity) {
         self.rejections = self.rejections.saturating_sub(1);
         self.excluded.push(endpoint);
@@ -107,11 +107,6 @@
         self.rejected(endpoint);
     }
 
-    /// Notes an endpoint that cannot be used, before anything was sent to it.
-    pub fn unsent_before(&mut self, endpoint: Identity) {
-        self.rejected(endpoint);
-    }
-
     /// Allows no further send: the budget for repeats is used up.
     pub const fn exhaust(&mut self) {
         self.may_run = 0;
--- a/crates/relay/src/border.rs
+++ b/crates/relay/src/border.rs
@@ -39,8 +39,6 @@
     pub key: Option<String>,
     /// Prompt tokens and most answer tokens.
     pub tokens: Option<(u64, u64)>,
-    /// The client's own estimate of the answer's tokens.
-    pub estimate: Option<u64>,
     /// Identifier of the event after which a stream is to go on.
     pub resume_after: Option<String>,
 }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -2,6 +2,7 @@
 
 use http::{Response, StatusCode, response};
 use kernel::catalogue::{Entry, Identity};
+use kernel::outlier::Judgement;
 use tokio::time::timeout;
 
 use crate::attempts::{Attempts, GaveUp};
@@ -159,25 +160,23 @@
 /// Keeps the endpoint's standing and logs what was not a good answer.
 fn note(pipeline: &Pipeline, accepted: &Accepted, entry: &Entry, sent: &Sent) {
     let now = pipeline.clock.now();
-    let mut balancer = pipeline.balancer.lock();
-    let standing = balancer.standing(entry.identity());
+    let judge = |how| pipeline.balancer.lock().judge(entry.identity(), how, now);
     let (outcome, reason) = match sent {
-        Sent::Answer(..) => return standing.succeeded(),
+        Sent::Answer(..) => return judge(Judgement::Succeeded),
         Sent::Failed(head, _) => {
-            standing.failed(now);
+            judge(Judgement::Failed);
             ("failed", head.status.to_string())
         }
         Sent::NotRun => ("not_run", String::new()),
         Sent::Unsent(reason) => {
-            standing.unreachable(now);
+            judge(Judgement::Silent);
             ("unsent", reason.clone())
         }
         Sent::Uncertain(reason) => {
-            standing.failed(now);
+            judge(Judgement::Failed);
             ("uncertain", reason.clone())
         }
     };
-    drop(balancer);
     log::info!(
         "event=send request={} endpoint={} outcome={outcome} reason=\"{reason}\"",
         accepted.id(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -181,14 +181,14 @@
         let pipeline = Arc::clone(&self.pipeline);
         let service = &self.accepted.service;
         let Some(engine) = pipeline.known.endpoint(service, place.plan.first) else {
-            self.attempts.unsent_before(place.plan.first);
+            self.attempts.rejected(place.plan.first);
             return Err(None);
         };
         let reserved = reservation::make(&pipeline, service, &place).await;
         let (reservations, helpers) = match reserved {
             Ok(made) => made,
             Err(at_fault) => {
-                self.attempts.unsent_before(at_fault);
+                self.attempts.rejected(at_fault);
                 return Err(None);
             }
         };
