Hosts claim engines for long reading, so that their prompts no longer meet there

The placements of all hosts in their true order, replayed against a queue for each engine, explain 18 of the 23 errors over 300 ms: hosts whose prompts wait see the same engines become free in the same moment, choose alike, and hear of each other a few milliseconds too late (5.524, 5.525 and 5.566; 9.7790 and 9.7797).

Ruled out: the formula (one host: median error -62 to +33 ms), lost news, failed reservations. Weighed: a random delay of each host's look for free engines (makes meetings rarer, and waiting longer); a common queue of all hosts (a second state to keep in step); a claim that is told first and holds if none goes before it.

Change: a plan with parts of 60 ms of reading or more is told to the other hosts, waits 8 ms, and is withdrawn and planned again when another host's claim on one of its engines goes first in an order that all hosts share. Short prompts start as before.

Test: long_prompts_of_hosts_that_choose_at_once_do_not_meet_on_an_engine, and two that bound it.

--- /dev/null
+++ b/crates/kernel/src/place/claim.rs
@@ -0,0 +1,69 @@
+//! Claims on engines that another host may have chosen in the same moment.
+//!
+//! Hosts that wait for the same engines see them become free at the same time and choose alike. A
+//! plan with long reading is therefore told to the other hosts first and holds only if none of them
+//! told of an earlier one meanwhile.
+
+use std::collections::HashMap;
+
+use super::engine::{Load, LoadId};
+use super::plan::{LEAST_PART_MS, Plan};
+use crate::catalogue::Identity;
+
+#[derive(Clone, Debug)]
+struct Claim {
+    engines: Vec<Identity>,
+    lost: bool,
+}
+
+/// The claims of this host that may still be lost.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Claims {
+    open: HashMap<LoadId, Claim>,
+}
+
+/// Whether the load keeps its engine from others for long.
+fn is_long(load: &Load) -> bool {
+    load.work.as_secs_f64() * 1_000.0 >= LEAST_PART_MS
+}
+
+/// Orders two claims alike on all hosts, and by chance as to who wins.
+const fn order(id: LoadId) -> (u64, u64) {
+    const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (id.holder ^ (id.sequence as u64).wrapping_mul(SPREAD)).wrapping_mul(SPREAD);
+    (mixed ^ (mixed >> 32), id.holder)
+}
+
+impl Claims {
+    /// Claims the engines of a plan; returns false when nothing of it can be contested.
+    pub fn open(&mut self, id: LoadId, plan: &Plan) -> bool {
+        let long = plan.loads.iter().filter(|(_, load)| is_long(load));
+        let engines: Vec<_> = long.map(|(engine, _)| *engine).collect();
+        if engines.is_empty() {
+            return false;
+        }
+        let claim = Claim {
+            engines,
+            lost: false,
+        };
+        self.open.insert(id, claim);
+        true
+    }
+
+    /// Takes what another host placed: the earlier one in the common order keeps the engine.
+    pub fn hear(&mut self, other: LoadId, engine: Identity, load: &Load) {
+        if !is_long(load) {
+            return;
+        }
+        for (id, claim) in &mut self.open {
+            if claim.engines.contains(&engine) && order(other) < order(*id) {
+                claim.lost = true;
+            }
+        }
+    }
+
+    /// Ends a claim and returns whether it holds.
+    pub fn settle(&mut self, id: LoadId) -> bool {
+        self.open.remove(&id).is_none_or(|claim| !claim.lost)
+    }
+}
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -4,6 +4,7 @@
 //! ones at once and those of the others as they tell them, and the requests that wait. Prompts that
 //! one engine reads too slowly, or cannot hold, are read by several.
 
+mod claim;
 mod engine;
 mod plan;
 mod pool;
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -11,7 +11,7 @@
 /// Most engines that read one prompt: the one that writes, and the helpers that it takes.
 const MOST_ENGINES: usize = 17;
 /// Shortest part of a prompt that is worth another engine, in milliseconds of reading.
-const LEAST_PART_MS: f64 = 60.0;
+pub(super) const LEAST_PART_MS: f64 = 60.0;
 /// Longest part that one engine reads, in milliseconds, unless more engines than one prompt may
 /// have would be needed: longer ones hold up what is placed there next.
 const LONGEST_PART_MS: f64 = 450.0;
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::claim::Claims;
 use super::engine::{Engine, Load, LoadId};
 use super::plan::{Ask, Plan, View};
 use super::speed::Speed;
@@ -32,6 +33,8 @@
 pub enum Verdict {
     /// It runs by this plan; its loads are counted under this identifier.
     Start(LoadId, Plan),
+    /// As [`Verdict::Start`], if the claim still holds after a while, see [`Pool::settle`].
+    Claim(LoadId, Plan),
     /// It cannot be served in time; the client may come back after this time.
     Refuse(Duration),
 }
@@ -54,6 +57,7 @@
     waiting: Vec<Waiting>,
     tickets: u64,
     partition: Partition,
+    claims: Claims,
 }
 
 impl Pool {
@@ -69,6 +73,7 @@
             waiting: Vec::new(),
             tickets: 0,
             partition: Partition::default(),
+            claims: Claims::default(),
         }
     }
 
@@ -174,7 +179,11 @@
             if let Some(plan) = self.plan(&request.ask, now.since(request.since), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                return Some(Verdict::Start(id, plan));
+                return Some(if self.claims.open(id, &plan) {
+                    Verdict::Claim(id, plan)
+                } else {
+                    Verdict::Start(id, plan)
+                });
             }
             *blocked = Some(request.ask.pause);
         }
@@ -235,7 +244,22 @@
         }
     }
 
-    /// Adds a load, of this host or another one.
+    /// Ends a claim and returns whether its request may run; otherwise its loads are removed.
+    pub fn settle(&mut self, id: LoadId) -> bool {
+        let holds = self.claims.settle(id);
+        if !holds {
+            self.release(id);
+        }
+        holds
+    }
+
+    /// Adds a load of another host, which may contest a claim of this one.
+    pub fn hear(&mut self, id: LoadId, engine: Identity, load: Load, now: Instant) {
+        self.claims.hear(id, engine, &load);
+        self.put(id, engine, load, now);
+    }
+
+    /// Adds a load.
     pub fn put(&mut self, id: LoadId, engine: Identity, load: Load, now: Instant) {
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.put(id, load, now);
@@ -251,6 +275,7 @@
 
     /// Removes all parts of a load.
     pub fn release(&mut self, id: LoadId) {
+        self.claims.settle(id);
         for engine in self.engines.values_mut() {
             engine.remove(id);
         }
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -42,7 +42,11 @@
 }
 
 fn pool(count: u32) -> Pool {
-    let mut pool = Pool::new(Speed::new(profile()), Domain::from("cannock"), OWN);
+    pool_of(OWN, count)
+}
+
+fn pool_of(holder: u64, count: u32) -> Pool {
+    let mut pool = Pool::new(Speed::new(profile()), Domain::from("cannock"), holder);
     pool.set_engines(entries(count).iter());
     pool
 }
@@ -73,7 +77,7 @@
     let mut verdicts = pool.assign(now);
     let index = verdicts.iter().position(|(other, _)| *other == ticket)?;
     match verdicts.swap_remove(index).1 {
-        Verdict::Start(id, plan) => Some((id, plan)),
+        Verdict::Start(id, plan) | Verdict::Claim(id, plan) => Some((id, plan)),
         Verdict::Refuse(_) => None,
     }
 }
@@ -322,3 +326,74 @@
     let (_, plan) = start(&mut pool, long(300_000, later), later).expect("a place");
     assert!(plan.loads.iter().any(|(engine, _)| !near.contains(engine)));
 }
+
+/// Pattern: at many hosts long prompts wait, engines become free, and all hosts see it at once.
+#[test]
+fn long_prompts_of_hosts_that_choose_at_once_do_not_meet_on_an_engine() {
+    const HOSTS: u64 = 5;
+    const ENGINES: u32 = 60;
+    let mut pools: Vec<_> = (1..=HOSTS).map(|holder| pool_of(holder, ENGINES)).collect();
+    let mut kept: Vec<(LoadId, Plan)> = Vec::new();
+    let mut losses = 0;
+    while kept.len() < pools.len() {
+        let chosen: Vec<_> = pools
+            .iter_mut()
+            .enumerate()
+            .filter(|(index, _)| kept.iter().all(|(id, _)| id.holder != *index as u64 + 1))
+            .map(|(_, pool)| start(pool, long(210_000, NOW), NOW).expect("engines are free"))
+            .collect();
+        for (id, plan) in &chosen {
+            let others = pools
+                .iter_mut()
+                .zip(1..)
+                .filter(|(_, holder)| *holder != id.holder);
+            for (pool, _) in others {
+                for (engine, load) in &plan.loads {
+                    pool.hear(*id, *engine, *load, NOW);
+                }
+            }
+        }
+        for (id, plan) in chosen {
+            let holder = usize::try_from(id.holder).expect("small");
+            if pools[holder - 1].settle(id) {
+                kept.push((id, plan));
+            } else {
+                losses += 1;
+                pools.iter_mut().for_each(|pool| pool.release(id));
+            }
+        }
+    }
+    assert!(losses > 0, "they choose alike");
+    let mut engines: Vec<_> = kept
+        .iter()
+        .flat_map(|(_, plan)| plan.loads.iter().map(|(engine, _)| *engine))
+        .collect();
+    let placed = engines.len();
+    engines.sort();
+    engines.dedup();
+    assert_eq!(engines.len(), placed, "two prompts meet on an engine");
+}
+
+/// Pattern: short prompts come all the time and cost an engine little; nothing waits for them.
+#[test]
+fn short_prompts_start_without_a_claim() {
+    let mut pool = pool(4);
+    pool.submit(short(NOW), NOW);
+    let verdicts = pool.assign(NOW);
+    assert!(matches!(verdicts[0].1, Verdict::Start(..)));
+}
+
+/// Pattern: a long prompt is placed while another host's short one comes to the same engine.
+#[test]
+fn a_short_prompt_takes_no_claim_away() {
+    let mut pool = pool(1);
+    let (id, plan) = start(&mut pool, long(40_000, NOW), NOW).expect("an engine is free");
+    for sequence in 0..20 {
+        let other = LoadId {
+            holder: OTHER,
+            sequence,
+        };
+        pool.hear(other, plan.first, part(20, true), NOW);
+    }
+    assert!(pool.settle(id));
+}
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -37,6 +37,11 @@
     metrics::counter!("filbertstage_helpers_total").increment(helpers);
 }
 
+/// Counts a claim on engines that another host's claim went before.
+pub(crate) fn claim_lost() {
+    metrics::counter!("filbertstage_claims_lost_total").increment(1);
+}
+
 /// Counts a send to an endpoint that brought no answer to pass on.
 pub(crate) fn sent(outcome: &'static str) {
     metrics::counter!("filbertstage_failed_sends_total", "outcome" => outcome).increment(1);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -11,9 +11,15 @@
 use kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::sleep;
 use wire::placement::{Item, Part, Placements, Scope};
 
 use crate::clock::Clock;
+use crate::observe;
+
+/// Time in which another host's claim on the same engines arrives: its gathering, the way between
+/// failure domains of a region, and a turn of a busy event loop.
+const CLAIM: Duration = Duration::from_millis(8);
 
 struct Slot {
     pool: Pool,
@@ -99,13 +105,40 @@
     pub async fn place(self: &Arc<Self>, service: &Service, ask: Ask) -> Result<Place, Duration> {
         /// For services without a pool, which a configuration is about to name.
         const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
-        let now = self.clock.now();
+        let since = self.clock.now();
+        loop {
+            let verdict = self.verdict(service, ask.clone(), since).await;
+            let (id, plan, claimed) = match verdict {
+                Some(Verdict::Start(id, plan)) => (id, plan, false),
+                Some(Verdict::Claim(id, plan)) => (id, plan, true),
+                Some(Verdict::Refuse(after)) => return Err(after),
+                None => return Err(UNKNOWN_RETRY),
+            };
+            self.tell_start(id, &plan, self.clock.now());
+            let place = Place {
+                placer: Arc::clone(self),
+                service: service.clone(),
+                id,
+                plan,
+            };
+            if !claimed {
+                return Ok(place);
+            }
+            sleep(CLAIM).await;
+            if self.settle(service, id) {
+                return Ok(place);
+            }
+            observe::claim_lost();
+        }
+    }
+
+    /// Waits for the pool's verdict on a request that came at `since`; `None` when the service has
+    /// no pool.
+    async fn verdict(&self, service: &Service, ask: Ask, since: Instant) -> Option<Verdict> {
         let (queued, receiver) = {
             let mut slots = self.slots.lock();
-            let Some(slot) = slots.get_mut(service) else {
-                return Err(UNKNOWN_RETRY);
-            };
-            let ticket = slot.pool.submit(ask, now);
+            let slot = slots.get_mut(service)?;
+            let ticket = slot.pool.submit(ask, since);
             let (sender, receiver) = oneshot::channel();
             slot.waiters.insert(ticket, sender);
             let queued = Queued {
@@ -116,21 +149,16 @@
             (queued, receiver)
         };
         self.pump_service(service);
-        let verdict = receiver.await;
+        let verdict = receiver.await.ok();
         drop(queued);
-        match verdict {
-            Ok(Verdict::Start(id, plan)) => {
-                self.tell_start(id, &plan, self.clock.now());
-                Ok(Place {
-                    placer: Arc::clone(self),
-                    service: service.clone(),
-                    id,
-                    plan,
-                })
-            }
-            Ok(Verdict::Refuse(after)) => Err(after),
-            Err(_) => Err(UNKNOWN_RETRY),
-        }
+        verdict
+    }
+
+    fn settle(&self, service: &Service, id: LoadId) -> bool {
+        let mut slots = self.slots.lock();
+        slots
+            .get_mut(service)
+            .is_some_and(|slot| slot.pool.settle(id))
     }
 
     /// Starts what fits now, for all services.
@@ -156,7 +184,7 @@
         for (ticket, verdict) in slot.pool.assign(now) {
             let waiter = slot.waiters.remove(&ticket);
             let undelivered = waiter.map(|waiter| waiter.send(verdict));
-            if let Some(Err(Verdict::Start(id, _))) = undelivered {
+            if let Some(Err(Verdict::Start(id, _) | Verdict::Claim(id, _))) = undelivered {
                 slot.pool.release(id);
             }
         }
@@ -282,7 +310,7 @@
                 };
                 let (id, engine) = (id(part.sequence), Identity(part.engine));
                 match frame.scope {
-                    Scope::News => pool.put(id, engine, load, now),
+                    Scope::News => pool.hear(id, engine, load, now),
                     Scope::Account | Scope::Continued => pool.correct(id, engine, load),
                 }
             }
