Refused clients are told when as many engines as their prompt needs have room

Cause: Retry-After was the end of the first stream on any engine, 0.2 s in a burst.

Change: the time until as many engines are free as the prompt is spread over, at most 4 s, later by up to a third in eight steps so that the clients of one moment do not come back at once.

Test: who_is_refused_is_told_when_enough_engines_have_room.

--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// When all that lies here now should have ended.
+    #[must_use]
+    pub fn free_at(&self, now: Instant) -> Instant {
+        let ends = self.loads.values().map(|load| load.ends_by);
+        ends.max().unwrap_or(now).max(now)
+    }
+
     /// Corrects a load, or adds one that delays nothing.
     pub fn correct(&mut self, id: LoadId, load: Load) {
         self.loads.insert(id, load);
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -96,6 +96,12 @@
     pub now: Instant,
 }
 
+/// The least number of engines over which a prompt that takes `total_ms` to read is spread.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn reading_engines(total_ms: f64) -> usize {
+    ((total_ms / LONGEST_PART_MS).ceil() as usize).clamp(1, MOST_ENGINES)
+}
+
 struct Candidate<'a> {
     engine: &'a Engine,
     /// Milliseconds until a part would be read here as the engine's own prompt.
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -5,7 +5,7 @@
 
 use super::claim::Claims;
 use super::engine::{Engine, Load, LoadId};
-use super::plan::{Ask, Plan, View};
+use super::plan::{Ask, Plan, View, reading_engines};
 use super::speed::Speed;
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
@@ -24,10 +24,15 @@
 /// the worth of a prompt grows with its length but its reading with the square of it.
 const WORK_WEIGHT: u32 = 2;
 /// Longest time after which a refused client is asked to come back.
-const LONGEST_RETRY: Duration = Duration::from_secs(2);
+const LONGEST_RETRY: Duration = Duration::from_secs(4);
 /// Shortest time after which a refused client is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
+/// Part of the time until there is room over which returning clients are spread.
+const SPREAD_SHARE: u32 = 3;
+/// Steps of that spread.
+const TURNS: u32 = 8;
+
 /// What becomes of a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
@@ -195,7 +200,8 @@
             LEAST_WAIT
         });
         let patience = patience.min(due);
-        (now.since(request.since) >= patience).then(|| Verdict::Refuse(self.retry_after(now)))
+        (now.since(request.since) >= patience)
+            .then(|| Verdict::Refuse(self.retry_after(request, now)))
     }
 
     fn plan(&self, ask: &Ask, waited: Duration, now: Instant) -> Option<Plan> {
@@ -321,13 +327,20 @@
         })
     }
 
-    /// When the first engine should have room again.
-    fn retry_after(&self, now: Instant) -> Duration {
-        let ends = self.engines.values().flat_map(|engine| {
-            let loads = engine.loads().filter(|(_, load)| load.writes);
-            loads.map(|(_, load)| load.ends_by.since(now))
-        });
-        let soonest = ends.min().unwrap_or(LONGEST_RETRY);
-        soonest.clamp(SHORTEST_RETRY, LONGEST_RETRY)
+    /// When as many engines as the prompt needs should have room again, spread so that the clients
+    /// of one moment do not all come back at once.
+    fn retry_after(&self, request: &Waiting, now: Instant) -> Duration {
+        let needed = reading_engines(self.speed.read_ms(request.ask.prompt));
+        let mut free: Vec<_> = self
+            .engines
+            .values()
+            .map(|engine| engine.free_at(now).since(now))
+            .collect();
+        free.sort();
+        let last = free.get(needed - 1).or(free.last());
+        let after = last.copied().unwrap_or(LONGEST_RETRY);
+        let turn = u32::try_from(request.ticket % u64::from(TURNS)).unwrap_or(0);
+        let spread = after / SPREAD_SHARE * turn / TURNS;
+        (after + spread).clamp(SHORTEST_RETRY, LONGEST_RETRY)
     }
 }
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -397,3 +397,49 @@
     }
     assert!(pool.settle(id));
 }
+
+/// Pattern: a burst of long prompts fills the engines, and more come than can wait.
+#[test]
+fn who_is_refused_is_told_when_enough_engines_have_room() {
+    let mut pool = pool(20);
+    while start(&mut pool, long(210_000, NOW), NOW).is_some() {}
+    let due = NOW + Duration::from_millis(2_900);
+    let busy = Load {
+        ends_by: due + Duration::from_millis(1_500),
+        ..part(100, true)
+    };
+    let engines: Vec<_> = pool.own().map(|(engine, ..)| engine).collect();
+    for (sequence, engine) in (1_000..).zip(engines) {
+        let id = LoadId {
+            holder: OTHER,
+            sequence,
+        };
+        pool.put(id, engine, busy, due);
+    }
+    for _ in 0..16 {
+        pool.submit(long(300_000, NOW), NOW);
+    }
+    let verdicts = pool.assign(NOW + Duration::from_secs(3));
+    let mut told: Vec<_> = verdicts
+        .iter()
+        .filter_map(|(_, verdict)| match verdict {
+            Verdict::Refuse(after) => Some(after.as_millis()),
+            _ => None,
+        })
+        .collect();
+    told.sort_unstable();
+    let (first, last) = (told[0], told[told.len() - 1]);
+    assert!(
+        (1_400..=1_500).contains(&first),
+        "the engines are busy for 1.4 s: {told:?}"
+    );
+    assert!(
+        (1_700..=1_900).contains(&last),
+        "by a third later: {told:?}"
+    );
+    told.dedup();
+    assert!(
+        told.len() >= 6,
+        "they come back at different times: {told:?}"
+    );
+}
