Each reservation is renewed by itself from the moment it was made

Cause: reservations were made one after another and renewed, also one after another, only when the last was made. With slow engines (280 ms an order, 300 is the limit) the first of seven waited 2.9 s for its renewal; sixteen would let it lapse at 3 s, while the prompt is being read into it.

Change: a task for each reservation renews it; all are released at once.

Tried as well and left out: making all reservations at once. In order, one of two prompts that want the same engines fails at the first; at once, both can fail.

--- a/crates/fakes/src/site/worker.rs
+++ b/crates/fakes/src/site/worker.rs
@@ -13,7 +13,7 @@
 use relay::body::{Body, Broken};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::http1::{Answer, Request, json as answer};
 use super::{MEMORY_TOKENS, STRIDE};
@@ -56,6 +56,9 @@
     runs: Vec<Run>,
     reserved: HashMap<String, u64>,
     reservations: usize,
+    order_time: Duration,
+    last_order: Option<Instant>,
+    longest_gap: Option<Duration>,
 }
 
 /// An endpoint.
@@ -121,6 +124,29 @@
         (state.reserved.values().sum(), state.reservations)
     }
 
+    /// Makes every order take this long.
+    pub fn slow_orders(&self, time: Duration) {
+        self.state.lock().order_time = time;
+    }
+
+    /// The longest time between two orders, where there were two.
+    #[must_use]
+    pub fn longest_gap(&self) -> Option<Duration> {
+        self.state.lock().longest_gap
+    }
+
+    async fn take_order(&self, body: &[u8]) -> Response<Body> {
+        let time = {
+            let mut state = self.state.lock();
+            let now = Instant::now();
+            let gap = state.last_order.replace(now).map(|last| now - last);
+            state.longest_gap = state.longest_gap.max(gap);
+            state.order_time
+        };
+        sleep(time).await;
+        self.order(body)
+    }
+
     fn order(&self, body: &[u8]) -> Response<Body> {
         let order: Value = serde_json::from_slice(body).unwrap_or_default();
         let ticket = order["identifier"].as_str().unwrap_or_default().to_owned();
@@ -219,7 +245,7 @@
 impl Answer for Worker {
     async fn answer(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
         if request.uri.path() == names::ORDER {
-            return Some(self.order(&request.body));
+            return Some(self.take_order(&request.body).await);
         }
         let expected = request.header(&names::EXPECTED);
         if expected.is_some_and(|name| name != self.name) {
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use kernel::catalogue::{Entry, Identity};
 use kernel::name::Service;
 use tokio::task::AbortHandle;
@@ -22,106 +23,117 @@
 /// Times that a release is tried; afterwards the reservation lapses by itself.
 const RELEASES: u32 = 3;
 
+/// A reservation that was asked for, whether or not it was made.
+#[derive(Clone)]
+struct Order {
+    entry: Entry,
+    ticket: String,
+    tokens: u64,
+}
+
+impl Order {
+    /// Reserves or renews; returns whether the engine said so in time.
+    async fn reserve(&self, memory: &dyn Memory) -> bool {
+        let order = memory.reserve(&self.entry, &self.ticket, self.tokens, HOLD);
+        let reserved = timeout(ORDER_TIMEOUT, order).await;
+        let made = matches!(reserved, Ok(Ok(())));
+        observe::reservation(if made { "made" } else { "refused" });
+        if !made {
+            log::info!(
+                "event=not_reserved engine={} ticket={} tokens={} outcome={reserved:?}",
+                self.entry.name,
+                self.ticket,
+                self.tokens
+            );
+        }
+        made
+    }
+
+    async fn release(&self, memory: &dyn Memory) {
+        for _ in 0..RELEASES {
+            let order = memory.release(&self.entry, &self.ticket);
+            if matches!(timeout(ORDER_TIMEOUT, order).await, Ok(Ok(()))) {
+                return;
+            }
+        }
+        observe::reservation("not_released");
+        log::warn!(
+            "event=not_released engine={} ticket={} reason=\"lapses by itself\"",
+            self.entry.name,
+            self.ticket
+        );
+    }
+}
+
 /// The reservations of one run, renewed until they are dropped and then released.
 pub(crate) struct Reservations {
-    renewing: Option<AbortHandle>,
-    held: Vec<(Entry, String)>,
+    renewing: Vec<AbortHandle>,
+    orders: Vec<Order>,
     memory: Arc<dyn Memory>,
 }
 
 impl Drop for Reservations {
     fn drop(&mut self) {
-        if let Some(task) = &self.renewing {
+        for task in &self.renewing {
             task.abort();
         }
-        if !self.held.is_empty() {
-            let held = std::mem::take(&mut self.held);
-            tokio::spawn(release(Arc::clone(&self.memory), held));
+        let orders = std::mem::take(&mut self.orders);
+        if !orders.is_empty() {
+            let memory = Arc::clone(&self.memory);
+            tokio::spawn(async move {
+                join_all(orders.iter().map(|order| order.release(&*memory))).await;
+            });
         }
     }
 }
 
 /// Reserves what a plan asks for, and names the helpers for the request.
 ///
-/// Fails with the engine that could not reserve, or that is gone.
+/// One engine after another, in the order of the plan: of two requests that want the same engines
+/// one fails at the first of them, where orders given at once would let both fail.
+///
+/// Fails with an engine that could not reserve, or that is gone.
 pub(crate) async fn make(
     pipeline: &Pipeline,
     service: &Service,
     place: &Place,
 ) -> Result<(Reservations, Vec<Helper>), Identity> {
     let mut reservations = Reservations {
-        renewing: None,
-        held: Vec::new(),
+        renewing: Vec::new(),
+        orders: Vec::new(),
         memory: Arc::clone(&pipeline.memory),
     };
     let mut helpers = Vec::with_capacity(place.plan.helpers.len());
-    let mut renewals = Vec::new();
     for (index, part) in place.plan.helpers.iter().enumerate() {
         let entry = pipeline.known.endpoint(service, part.engine);
         let entry = entry.ok_or(part.engine)?;
-        let mut ticket = None;
-        if part.reserve > 0 {
-            let name = place.ticket(index);
-            reservations.held.push((entry.clone(), name.clone()));
-            let order = pipeline.memory.reserve(&entry, &name, part.reserve, HOLD);
-            let reserved = timeout(ORDER_TIMEOUT, order).await;
-            observe::reservation(if matches!(reserved, Ok(Ok(()))) {
-                "made"
-            } else {
-                "refused"
-            });
-            if !matches!(reserved, Ok(Ok(()))) {
-                log::info!(
-                    "event=not_reserved engine={} ticket={name} tokens={} outcome={reserved:?}",
-                    entry.name,
-                    part.reserve
-                );
-                return Err(part.engine);
-            }
-            renewals.push((entry.clone(), name.clone(), part.reserve));
-            ticket = Some(name);
-        }
+        let ticket = (part.reserve > 0).then(|| place.ticket(index));
         helpers.push(Helper {
             address: entry.address,
-            ticket,
+            ticket: ticket.clone(),
         });
-    }
-    if !renewals.is_empty() {
-        let task = tokio::spawn(renew(Arc::clone(&pipeline.memory), renewals));
-        reservations.renewing = Some(task.abort_handle());
+        if let Some(ticket) = ticket {
+            let order = Order {
+                entry,
+                ticket,
+                tokens: part.reserve,
+            };
+            // Whatever was ordered is released, however this ends.
+            reservations.orders.push(order.clone());
+            if !order.reserve(&*pipeline.memory).await {
+                return Err(part.engine);
+            }
+            let task = tokio::spawn(renew(Arc::clone(&pipeline.memory), order));
+            reservations.renewing.push(task.abort_handle());
+        }
     }
     Ok((reservations, helpers))
 }
 
-async fn renew(memory: Arc<dyn Memory>, held: Vec<(Entry, String, u64)>) {
+/// Renews one reservation for ever; none waits for another, which may be at a silent engine.
+async fn renew(memory: Arc<dyn Memory>, order: Order) {
     loop {
         tokio::time::sleep(RENEW).await;
-        for (entry, ticket, tokens) in &held {
-            let order = memory.reserve(entry, ticket, *tokens, HOLD);
-            if !matches!(timeout(ORDER_TIMEOUT, order).await, Ok(Ok(()))) {
-                observe::reservation("not_renewed");
-                log::warn!("event=not_renewed engine={} ticket={ticket}", entry.name);
-            }
-        }
-    }
-}
-
-async fn release(memory: Arc<dyn Memory>, held: Vec<(Entry, String)>) {
-    for (entry, ticket) in held {
-        let mut released = false;
-        for _ in 0..RELEASES {
-            let order = memory.release(&entry, &ticket);
-            released = matches!(timeout(ORDER_TIMEOUT, order).await, Ok(Ok(())));
-            if released {
-                break;
-            }
-        }
-        if !released {
-            observe::reservation("not_released");
-            let engine = &entry.name;
-            log::warn!(
-                "event=not_released engine={engine} ticket={ticket} reason=\"lapses by itself\""
-            );
-        }
+        order.reserve(&*memory).await;
     }
 }
