Random input for decoders, frames, pools and the front; what it found is mended

With counts near the largest number a time overflowed inside the pool's lock, and every request that waited there was dropped with the panic. Counts are now bounded where they enter, times saturate, and a prompt beyond the memory of all engines is refused at once. - A configuration with a negative or absent speed of the engines did the same at every host that read it, and a negative time-out became zero: every request of the route would have been refused. Empty lines now pass as they come.

Ruled out: the splitter's identifiers and joints (any cut gives the same events), frames (garbage is refused, sealed garbage is read or refused).

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -85,7 +85,9 @@
     }
 }
 
-fn configuration(version: u64, key: &str) -> serde_json::Value {
+/// A configuration with a route of each kind.
+#[must_use]
+pub fn configuration(version: u64, key: &str) -> serde_json::Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
--- a/crates/kernel/src/catalogue/configuration.rs
+++ b/crates/kernel/src/catalogue/configuration.rs
@@ -109,6 +109,30 @@
     pub hop_ms: f64,
 }
 
+impl Profile {
+    /// What is wrong with the figures, if they are no speeds of an engine.
+    #[must_use]
+    pub fn problem(&self) -> Option<&'static str> {
+        let times = [
+            self.step_ms,
+            self.writer_ms,
+            self.context_ms,
+            self.pairs_ms,
+            self.hop_ms,
+        ];
+        if !times.iter().all(|time| time.is_finite() && *time >= 0.0) {
+            return Some("a time of the engines' formula is negative or no number");
+        }
+        if !self.read_per_s.is_finite() || self.read_per_s <= 0.0 {
+            return Some("the engines read no tokens in a second");
+        }
+        if self.slots == 0 || self.memory_tokens == 0 {
+            return Some("the engines have no places or no memory");
+        }
+        None
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -32,7 +32,7 @@
         let rest = self.torn.split_off(end);
         let whole = std::mem::replace(&mut self.torn, rest);
         for event in whole.split_inclusive_events() {
-            self.events += 1;
+            self.events += u64::from(!is_blank(event));
             if let Some(id) = identifier(event) {
                 self.last_id = Some(id.to_owned());
             }
@@ -64,19 +64,19 @@
     }
 }
 
-/// Where the last whole event of `bytes` ends.
+/// Where the last whole event of `bytes`, which begin with a line, ends.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
-    (1..bytes.len())
+    (0..bytes.len())
         .rev()
         .find(|index| ends_event(bytes, *index))
         .map(|index| index + 1)
 }
 
-/// Whether the byte at `index` is the second line feed of an empty line.
+/// Whether the byte at `index` ends an empty line. Empty lines between events pass as they come.
 fn ends_event(bytes: &[u8], index: usize) -> bool {
-    bytes[index] == b'\n'
-        && (bytes[index - 1] == b'\n'
-            || (bytes[index - 1] == b'\r' && index >= 2 && bytes[index - 2] == b'\n'))
+    let before = &bytes[..index];
+    let line = before.strip_suffix(b"\r").unwrap_or(before);
+    bytes[index] == b'\n' && line.last().is_none_or(|byte| *byte == b'\n')
 }
 
 trait Events {
@@ -87,7 +87,7 @@
     fn split_inclusive_events(&self) -> Vec<&[u8]> {
         let mut events = Vec::new();
         let mut start = 0;
-        for index in 1..self.len() {
+        for index in 0..self.len() {
             if ends_event(self, index) {
                 events.push(&self[start..=index]);
                 start = index + 1;
@@ -97,6 +97,11 @@
     }
 }
 
+/// Whether the event is an empty line alone.
+fn is_blank(event: &[u8]) -> bool {
+    matches!(event, b"\n" | b"\r\n")
+}
+
 fn identifier(event: &[u8]) -> Option<&str> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::engine::{Engine, Load};
-use super::speed::{Speed, as_f64};
+use super::speed::{Speed, as_f64, time};
 use crate::catalogue::Identity;
 use crate::clock::Instant;
 use crate::name::Domain;
@@ -96,6 +96,18 @@
     pub now: Instant,
 }
 
+/// Memory of one engine that plans may use, in tokens.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn usable_tokens(speed: &Speed) -> u64 {
+    (as_f64(speed.profile().memory_tokens) * MEMORY_SHARE) as u64
+}
+
+/// Whether so many engines, all free, could hold a request.
+pub(super) fn could_hold(speed: &Speed, engines: usize, ask: &Ask) -> bool {
+    let most = engines.min(MOST_ENGINES) as u64;
+    ask.prompt + ask.answer <= usable_tokens(speed).saturating_mul(most)
+}
+
 /// The least number of engines over which a prompt that takes `total_ms` to read is spread.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 pub(super) fn reading_engines(total_ms: f64) -> usize {
@@ -212,9 +224,7 @@
     }
 
     fn free(&self, engine: &Engine) -> u64 {
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let usable = (as_f64(self.speed.profile().memory_tokens) * MEMORY_SHARE) as u64;
-        usable.saturating_sub(engine.used())
+        usable_tokens(self.speed).saturating_sub(engine.used())
     }
 
     /// Memory to reserve at each helper, or `None` when all together cannot hold the request.
@@ -250,7 +260,7 @@
         let stride = u64::from(self.speed.profile().stride.max(1));
         let passes = as_f64(ask.answer.div_ceil(stride));
         let ends_by = self.after(read_ms + passes * pass);
-        let work = Duration::from_secs_f64(part_ms.max(0.0) / 1_000.0);
+        let work = time(part_ms);
         let mut loads = vec![(
             first.engine.identity,
             Load {
@@ -284,13 +294,13 @@
         Plan {
             first: first.engine.identity,
             helpers: parts,
-            first_event: Duration::from_secs_f64((read_ms + pass).max(0.0) / 1_000.0),
+            first_event: time(read_ms + pass),
             loads,
         }
     }
 
     fn after(&self, millis: f64) -> Instant {
-        self.now + Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+        self.now + time(millis)
     }
 }
 
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -5,8 +5,8 @@
 
 use super::claim::Claims;
 use super::engine::{Engine, Load, LoadId};
-use super::plan::{Ask, Plan, View, reading_engines};
-use super::speed::Speed;
+use super::plan::{Ask, Plan, View, could_hold, reading_engines};
+use super::speed::{Speed, time};
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
 use crate::name::Domain;
@@ -33,6 +33,10 @@
 /// Steps of that spread.
 const TURNS: u32 = 8;
 
+/// Most tokens that are believed of a request or load: a thousand times the longest prompts, and
+/// little enough to be added up.
+const MOST_TOKENS: u64 = 1_000_000_000;
+
 /// What becomes of a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
@@ -131,7 +135,9 @@
     }
 
     /// Adds a request to those that wait and returns its ticket.
-    pub fn submit(&mut self, ask: Ask, now: Instant) -> u64 {
+    pub fn submit(&mut self, mut ask: Ask, now: Instant) -> u64 {
+        ask.prompt = ask.prompt.min(MOST_TOKENS);
+        ask.answer = ask.answer.min(MOST_TOKENS);
         self.tickets += 1;
         let ticket = self.tickets;
         self.waiting.push(Waiting {
@@ -154,7 +160,7 @@
         let speed = &self.speed;
         waiting.sort_by_key(|waiting| {
             let late = waiting.ask.due <= now && !waiting.ask.begun;
-            let work = Duration::from_secs_f64(speed.read_ms(waiting.ask.prompt) / 1_000.0);
+            let work = time(speed.read_ms(waiting.ask.prompt));
             (
                 late,
                 waiting.ask.priority,
@@ -180,6 +186,10 @@
         blocked: &mut Option<Duration>,
         now: Instant,
     ) -> Option<Verdict> {
+        let engines = self.engines.len();
+        if engines > 0 && !could_hold(&self.speed, engines, &request.ask) {
+            return Some(Verdict::Refuse(LONGEST_RETRY));
+        }
         if blocked.is_none_or(|pause| pause != request.ask.pause) {
             if let Some(plan) = self.plan(&request.ask, now.since(request.since), now) {
                 let id = self.next_id();
@@ -266,14 +276,16 @@
     }
 
     /// Adds a load.
-    pub fn put(&mut self, id: LoadId, engine: Identity, load: Load, now: Instant) {
+    pub fn put(&mut self, id: LoadId, engine: Identity, mut load: Load, now: Instant) {
+        load.tokens = load.tokens.min(MOST_TOKENS);
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.put(id, load, now);
         }
     }
 
     /// Corrects a load of another host by that host's own account.
-    pub fn correct(&mut self, id: LoadId, engine: Identity, load: Load) {
+    pub fn correct(&mut self, id: LoadId, engine: Identity, mut load: Load) {
+        load.tokens = load.tokens.min(MOST_TOKENS);
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.correct(id, load);
         }
--- a/crates/kernel/src/place/speed.rs
+++ b/crates/kernel/src/place/speed.rs
@@ -1,10 +1,15 @@
 //! Predicts times from the published formula of an engine.
 
+use std::time::Duration;
+
 use crate::catalogue::Profile;
 
 /// Pairs that the profile prices together.
 const PAIRS_UNIT: f64 = 1_000_000.0;
 
+/// Longest predicted time; far beyond every deadline.
+const LONGEST_MS: f64 = 1e9;
+
 /// The published formula of one service's engines.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Speed {
@@ -46,6 +51,14 @@
     }
 }
 
+/// A predicted time; what is no time or beyond every bound becomes the nearest one.
+pub(super) fn time(millis: f64) -> Duration {
+    if millis.is_nan() {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(millis.clamp(0.0, LONGEST_MS) / 1_000.0)
+}
+
 /// Token counts stay far below 2^52, so nothing is lost.
 #[allow(clippy::cast_precision_loss)]
 pub(super) const fn as_f64(tokens: u64) -> f64 {
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -359,7 +359,9 @@
                 kept.push((id, plan));
             } else {
                 losses += 1;
-                pools.iter_mut().for_each(|pool| pool.release(id));
+                for pool in &mut pools {
+                    pool.release(id);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/wire/tests/fuzz.rs
@@ -0,0 +1,32 @@
+//! Random bytes in place of frames between hosts.
+
+use filbertstage_wire::datagram;
+use filbertstage_wire::placement::Placements;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const KEY: &[u8] = b"a key of hosts";
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    })]
+
+    /// Nothing but what a host sealed is ever taken for a frame.
+    #[test]
+    fn random_bytes_are_no_frame(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        prop_assert!(datagram::decode::<Placements>(KEY, &bytes).is_err());
+    }
+
+    /// Garbage that was sealed with the right key decodes or is refused, and does not panic.
+    #[test]
+    fn sealed_garbage_is_refused_or_read(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let sealed = datagram::encode(KEY, &bytes).expect("small enough");
+        // Either is right; what is read is bounded by the bytes that came.
+        if let Ok(frame) = datagram::decode::<Placements>(KEY, &sealed) {
+            prop_assert!(frame.items.len() <= bytes.len());
+        }
+    }
+}
