Accounts of other hosts lose nothing in whatever order their frames arrive

Engines of 16 slots had been given up to 22 requests within a stream's time. A host with more than 50 loads tells its account in several frames; the first made its hearers forget all that they knew of it, also when it came after the second, and until the next account half a second later.

Change: frames carry the number of the account, and of how many frames it is one. Loads remember the account that named them last; when all frames have come, in any order, what was not named is dropped. A lost frame drops nothing.

Test: an_account_in_several_frames_loses_nothing.

Left: hosts that want the last slot of an engine in the same moment.

--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -37,6 +37,8 @@
     pub writes: bool,
     /// Longest pause between its events with which it is on time.
     pub pause: Duration,
+    /// Number of the account of its host that told of it last; zero for the own host's.
+    pub told: u32,
 }
 
 /// One engine.
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -271,6 +271,7 @@
                 ends_by,
                 writes: true,
                 pause: ask.pause,
+                told: 0,
             },
         )];
         let mut parts = Vec::with_capacity(helpers.len());
@@ -284,6 +285,7 @@
                 ends_by: if *reserve == 0 { read_by } else { ends_by },
                 writes: false,
                 pause: ask.pause,
+                told: 0,
             };
             loads.push((helper.engine.identity, load));
             parts.push(Part {
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -323,6 +323,13 @@
         }
     }
 
+    /// Drops the loads of a host that its whole account `number` did not name, nor news after it.
+    pub fn reconcile(&mut self, holder: u64, number: u32) {
+        for engine in self.engines.values_mut() {
+            engine.retain(|id, load| id.holder != holder || load.told >= number);
+        }
+    }
+
     /// Drops all loads of a host that is gone or has started again.
     pub fn drop_holder(&mut self, holder: u64) {
         for engine in self.engines.values_mut() {
--- a/crates/kernel/tests/fuzz.rs
+++ b/crates/kernel/tests/fuzz.rs
@@ -117,7 +117,7 @@
         for (index, (tokens, millis, writes)) in (0_u32..).zip(loads) {
             let millis = millis.map(|millis| Duration::from_millis(millis.into()));
             let load = Load { tokens, work: millis[0], read_by: NOW + millis[1], read: false,
-                ends_by: NOW + millis[2], writes, pause: millis[0] };
+                ends_by: NOW + millis[2], writes, pause: millis[0], told: 0 };
             let engine: Identity = entries[index as usize % entries.len()].identity();
             pool.hear(LoadId { holder: 2, sequence: index }, engine, load, NOW);
         }
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -220,6 +220,7 @@
         ends_by: NOW + Duration::from_secs(4),
         writes,
         pause: Duration::from_millis(800),
+        told: 0,
     }
 }
 
@@ -376,6 +377,36 @@
     assert_eq!(engines.len(), placed, "two prompts meet on an engine");
 }
 
+/// Pattern: in a burst a host's account takes several frames, and they arrive in any order.
+#[rstest]
+#[case::in_order([0, 1])]
+#[case::the_other_way_round([1, 0])]
+fn an_account_in_several_frames_loses_nothing(#[case] order: [usize; 2]) {
+    const EACH: u32 = 10;
+    let mut pool = pool(2);
+    let id = |sequence| LoadId {
+        holder: OTHER,
+        sequence,
+    };
+    let engine = entries(1)[0].identity();
+    let told = |account, told| Load {
+        told,
+        ..part(account, true)
+    };
+    let ended = id(1_000);
+    pool.hear(ended, engine, told(20, 6), NOW);
+    for frame in order {
+        for sequence in (0..EACH).map(|index| index + EACH * u32::try_from(frame).unwrap_or(0)) {
+            pool.correct(id(sequence), engine, told(20, 7));
+        }
+    }
+    let news = id(2_000);
+    pool.hear(news, engine, told(20, 7), NOW);
+    pool.reconcile(OTHER, 7);
+    let loads = pool.engine_mut(engine).expect("known").loads().count();
+    assert_eq!(loads, 2 * EACH as usize + 1, "all but the one that ended");
+}
+
 /// Pattern: short prompts come all the time and cost an engine little; nothing waits for them.
 #[test]
 fn short_prompts_start_without_a_claim() {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -106,12 +106,13 @@
         }
     }
 
-    fn frame(&self, scope: Scope, items: Vec<Item>) -> Placements {
+    fn frame(&self, account: u32, scope: Scope, items: Vec<Item>) -> Placements {
         Placements {
             host: self.own.as_str().to_owned(),
             holder: self.holder,
             version: self.known.version(),
             scope,
+            account,
             items,
         }
     }
@@ -119,28 +120,32 @@
     /// Sends news as they come, and full accounts.
     pub async fn send(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut next_account = self.clock.now();
+        let mut account = 0;
         loop {
             let wait = next_account.since(self.clock.now());
-            let account = tokio::select! {
+            let due = tokio::select! {
                 () = self.placer.told.notified() => false,
                 () = sleep(wait) => true,
             };
-            if account {
+            if due {
+                account += 1;
                 next_account = self.clock.now() + ACCOUNT_PERIOD;
                 self.expire();
                 self.placer.forget();
                 self.placer.take_news();
-                self.send_items(&socket, Scope::Account, self.placer.all())
+                let all = self.placer.all();
+                let frames = u32::try_from(all.chunks(ITEMS).len().max(1)).unwrap_or(u32::MAX);
+                self.send_items(&socket, account, Scope::Account { frames }, all)
                     .await;
             } else {
                 sleep(GATHER).await;
                 let news = self.placer.take_news();
-                self.send_items(&socket, Scope::News, news).await;
+                self.send_items(&socket, account, Scope::News, news).await;
             }
         }
     }
 
-    async fn send_items(&self, socket: &UdpSocket, mut scope: Scope, items: Vec<Item>) {
+    async fn send_items(&self, socket: &UdpSocket, account: u32, scope: Scope, items: Vec<Item>) {
         let now = self.clock.now();
         let addresses: Vec<_> = {
             let peers = self.peers.lock();
@@ -153,14 +158,11 @@
             return;
         }
         let mut chunks: Vec<&[Item]> = items.chunks(ITEMS).collect();
-        if chunks.is_empty() && scope == Scope::Account {
+        if chunks.is_empty() && scope != Scope::News {
             chunks.push(&[]);
         }
         for chunk in chunks {
-            let frame = self.frame(scope, chunk.to_vec());
-            if scope == Scope::Account {
-                scope = Scope::Continued;
-            }
+            let frame = self.frame(account, scope, chunk.to_vec());
             let Ok(bytes) = datagram::encode(KEY, &frame) else {
                 log::error!("event=frame_too_large items={}", frame.items.len());
                 continue;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -33,6 +33,8 @@
     holder: u64,
     slots: Mutex<HashMap<Service, Slot>>,
     news: Mutex<Vec<Item>>,
+    /// Of each other host, the account that is arriving and how many of its frames have come.
+    accounts: Mutex<HashMap<u64, (u32, u32)>>,
     /// Wakes the task that tells the other hosts.
     pub told: Notify,
 }
@@ -93,6 +95,7 @@
             holder,
             slots: Mutex::default(),
             news: Mutex::default(),
+            accounts: Mutex::default(),
             told: Notify::new(),
         }
     }
@@ -280,18 +283,33 @@
     /// Takes what another host tells.
     pub fn heard(&self, frame: &Placements) {
         let now = self.clock.now();
+        let whole = self.completes(frame);
         let mut slots = self.slots.lock();
         for slot in slots.values_mut() {
-            if frame.scope == Scope::Account {
-                slot.pool.drop_holder(frame.holder);
-            }
             for item in &frame.items {
                 Self::take(&mut slot.pool, frame, item, now);
             }
+            if whole {
+                slot.pool.reconcile(frame.holder, frame.account);
+            }
             Self::assign(slot, now);
         }
     }
 
+    /// Counts a frame of an account and returns whether it was the last one missing.
+    fn completes(&self, frame: &Placements) -> bool {
+        let Scope::Account { frames } = frame.scope else {
+            return false;
+        };
+        let mut accounts = self.accounts.lock();
+        let arriving = accounts.entry(frame.holder).or_default();
+        if arriving.0 != frame.account {
+            *arriving = (frame.account, 0);
+        }
+        arriving.1 += 1;
+        arriving.1 == frames
+    }
+
     fn take(pool: &mut Pool, frame: &Placements, item: &Item, now: Instant) {
         let id = |sequence| LoadId {
             holder: frame.holder,
@@ -307,11 +325,12 @@
                     ends_by: now + Duration::from_millis(part.ends_ms.into()),
                     writes: part.writes,
                     pause: Duration::from_millis(part.pause_ms.into()),
+                    told: frame.account,
                 };
                 let (id, engine) = (id(part.sequence), Identity(part.engine));
                 match frame.scope {
                     Scope::News => pool.hear(id, engine, load, now),
-                    Scope::Account | Scope::Continued => pool.correct(id, engine, load),
+                    Scope::Account { .. } => pool.correct(id, engine, load),
                 }
             }
             Item::Read(sequence) => pool.has_read(id(*sequence), now),
@@ -321,6 +340,7 @@
 
     /// Drops the placements of a host that is gone.
     pub fn drop_holder(&self, holder: u64) {
+        self.accounts.lock().remove(&holder);
         let mut slots = self.slots.lock();
         for slot in slots.values_mut() {
             slot.pool.drop_holder(holder);
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -13,6 +13,8 @@
     pub version: u64,
     /// What the items are.
     pub scope: Scope,
+    /// Number of the sender's last account, which this frame belongs to or follows.
+    pub account: u32,
     /// The news.
     pub items: Vec<Item>,
 }
@@ -22,10 +24,12 @@
 pub enum Scope {
     /// Changes since the last frame.
     News,
-    /// All that the sender has: what it told before and is missing has ended.
-    Account,
-    /// More of the account before it.
-    Continued,
+    /// A part of all that the sender has, which takes so many frames: what no frame of a whole
+    /// account names has ended. Frames may arrive in any order.
+    Account {
+        /// Frames of the account.
+        frames: u32,
+    },
 }
 
 /// One change of a placement.
