Hosts claim the last slots of an engine

Weighed and tried: a cost for the last two slots.

Test: one_of_the_hosts_that_choose_the_last_slot_gets_it.

--- a/crates/kernel/src/place/claim.rs
+++ b/crates/kernel/src/place/claim.rs
@@ -2,7 +2,7 @@
 //!
 //! Hosts that wait for the same engines see them become free at the same time and choose alike. A
 //! plan with long reading is therefore told to the other hosts first and holds only if none of them
-//! told of an earlier one meanwhile.
+//! told of an earlier one meanwhile. The last slots of an engine are claimed in the same way.
 
 use std::collections::HashMap;
 
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 struct Claim {
     engines: Vec<Identity>,
+    /// The engine that writes, where its slots are nearly taken, and how many are left.
+    slot: Option<(Identity, usize)>,
     lost: bool,
 }
 
@@ -22,6 +24,9 @@
     open: HashMap<LoadId, Claim>,
 }
 
+/// Slots of an engine that several hosts may want in the same moment.
+const LAST_SLOTS: usize = 3;
+
 /// Whether the load keeps its engine from others for long.
 fn is_long(load: &Load) -> bool {
     load.work.as_secs_f64() * 1_000.0 >= LEAST_PART_MS
@@ -35,15 +40,18 @@
 }
 
 impl Claims {
-    /// Claims the engines of a plan; returns false when nothing of it can be contested.
-    pub fn open(&mut self, id: LoadId, plan: &Plan) -> bool {
+    /// Claims the engines of a plan, and a slot where only `slots_left` are left beside it; returns
+    /// false when nothing of it can be contested.
+    pub fn open(&mut self, id: LoadId, plan: &Plan, slots_left: usize) -> bool {
         let long = plan.loads.iter().filter(|(_, load)| is_long(load));
         let engines: Vec<_> = long.map(|(engine, _)| *engine).collect();
-        if engines.is_empty() {
+        let slot = (slots_left < LAST_SLOTS).then_some((plan.first, slots_left));
+        if engines.is_empty() && slot.is_none() {
             return false;
         }
         let claim = Claim {
             engines,
+            slot,
             lost: false,
         };
         self.open.insert(id, claim);
@@ -52,13 +60,18 @@
 
     /// Takes what another host placed: the earlier one in the common order keeps the engine.
     pub fn hear(&mut self, other: LoadId, engine: Identity, load: &Load) {
-        if !is_long(load) {
-            return;
-        }
-        for (id, claim) in &mut self.open {
-            if claim.engines.contains(&engine) && order(other) < order(*id) {
+        let earlier = |id: &LoadId| order(other) < order(*id);
+        for (_, claim) in self.open.iter_mut().filter(|(id, _)| earlier(id)) {
+            if is_long(load) && claim.engines.contains(&engine) {
                 claim.lost = true;
             }
+            if let Some((contested, left)) = &mut claim.slot
+                && load.writes
+                && *contested == engine
+            {
+                claim.lost |= *left == 0;
+                *left = left.saturating_sub(1);
+            }
         }
     }
 
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -194,7 +194,8 @@
             if let Some(plan) = self.plan(&request.ask, now.since(request.since), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                return Some(if self.claims.open(id, &plan) {
+                let slots_left = self.slots_left(plan.first);
+                return Some(if self.claims.open(id, &plan, slots_left) {
                     Verdict::Claim(id, plan)
                 } else {
                     Verdict::Start(id, plan)
@@ -246,6 +247,12 @@
         plan.filter(|plan| now + plan.first_event < ask.deadline)
     }
 
+    /// Slots of an engine that no request has.
+    fn slots_left(&self, engine: Identity) -> usize {
+        let writers = self.engines.get(&engine).map_or(0, Engine::writers);
+        (self.speed.profile().slots as usize).saturating_sub(writers)
+    }
+
     fn next_id(&mut self) -> LoadId {
         self.sequence = self.sequence.wrapping_add(1);
         LoadId {
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -476,3 +476,39 @@
         "they come back at different times: {told:?}"
     );
 }
+
+/// Pattern: in a burst of short prompts several hosts want the last slot of an engine.
+#[test]
+fn one_of_the_hosts_that_choose_the_last_slot_gets_it() {
+    const SLOTS: u32 = 16;
+    let mut pools: Vec<_> = (1..=3).map(|holder| pool_of(holder, 1)).collect();
+    let engine = entries(1)[0].identity();
+    for pool in &mut pools {
+        for sequence in 0..SLOTS - 1 {
+            let id = LoadId {
+                holder: 9,
+                sequence,
+            };
+            let writes = Load {
+                read: true,
+                pause: Duration::from_millis(200),
+                ..part(0, true)
+            };
+            pool.put(id, engine, writes, NOW);
+        }
+    }
+    let chosen: Vec<_> = pools
+        .iter_mut()
+        .map(|pool| start(pool, short(NOW), NOW).expect("a slot is left"))
+        .collect();
+    for (index, pool) in pools.iter_mut().enumerate() {
+        for (other, (id, plan)) in chosen.iter().enumerate() {
+            if other != index {
+                pool.hear(*id, plan.first, plan.loads[0].1, NOW);
+            }
+        }
+    }
+    let settled = chosen.iter().zip(&mut pools);
+    let kept: Vec<_> = settled.map(|((id, _), pool)| pool.settle(*id)).collect();
+    assert_eq!(kept.iter().filter(|kept| **kept).count(), 1, "{kept:?}");
+}
