After reading the change: figures once a plan, one start of a host in tests, one seed

- Placing: backlog, pass and tightest pause of each engine were computed anew for every number of parts, up to seventeen times a plan.
They are taken once.
- Freeing: a leaving endpoint's entry waited out the time of an overtaken request although the endpoint is gone; it is forgotten at once again, by the ledger's own call for that.
- Deferred: the owner's check is the table's, which only tests had called.
- Tests: three files started a host before a stand-in each in their own way, and two had the same engines and formula.
Both stand in a support module.

--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -114,6 +114,15 @@
     ((total_ms / LONGEST_PART_MS).ceil() as usize).clamp(1, MOST_ENGINES)
 }
 
+/// What a plan needs of an engine, whatever the number of parts.
+struct Figures<'a> {
+    engine: &'a Engine,
+    backlog_ms: f64,
+    helping_ms: f64,
+    pass_ms: f64,
+    tightest: Option<Duration>,
+}
+
 struct Candidate<'a> {
     engine: &'a Engine,
     /// Milliseconds until a part would be read here as the engine's own prompt.
@@ -131,6 +140,12 @@
         let least = total / engines.min(as_f64(MOST_ENGINES as u64)).max(1.0);
         let patience = (1.0 + waited.as_secs_f64() * 1_000.0 / PATIENCE_MS).min(MOST_PATIENCE);
         let longest = LONGEST_PART_MS.max(least) * patience;
+        let figures: Vec<_> = self
+            .engines
+            .iter()
+            .filter(|engine| !ask.excluded.contains(&engine.identity))
+            .map(|engine| self.figures(engine))
+            .collect();
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = ((total / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
@@ -138,7 +153,9 @@
             if total / as_f64(count as u64) > longest {
                 continue;
             }
-            let Some(plan) = self.split(ask, count, total, patience) else {
+            let Some(plan) =
+                self.split(&figures, ask, count, total / as_f64(count as u64), patience)
+            else {
                 continue;
             };
             let extra = f64::from(u32::try_from(count - 1).unwrap_or(u32::MAX));
@@ -150,13 +167,27 @@
         best.map(|(_, plan)| plan)
     }
 
-    fn split(&self, ask: &Ask, count: usize, total_ms: f64, patience: f64) -> Option<Plan> {
-        let part_ms = total_ms / as_f64(count as u64);
-        let mut candidates: Vec<_> = self
-            .engines
+    fn figures<'a>(&self, engine: &'a Engine) -> Figures<'a> {
+        Figures {
+            engine,
+            backlog_ms: engine.backlog_ms(self.now),
+            helping_ms: engine.helping_ms(self.now),
+            pass_ms: engine.pass_ms(self.speed, 0),
+            tightest: engine.tightest(),
+        }
+    }
+
+    fn split(
+        &self,
+        figures: &[Figures<'_>],
+        ask: &Ask,
+        count: usize,
+        part_ms: f64,
+        patience: f64,
+    ) -> Option<Plan> {
+        let mut candidates: Vec<_> = figures
             .iter()
-            .filter(|engine| !ask.excluded.contains(&engine.identity))
-            .filter_map(|engine| self.candidate(engine, ask, part_ms, patience))
+            .filter_map(|figures| self.candidate(figures, ask, part_ms, patience))
             .collect();
         if candidates.len() < count {
             return None;
@@ -178,21 +209,21 @@
     /// Weighs an engine for reading a part, unless that harms streams that run there.
     fn candidate<'a>(
         &self,
-        engine: &'a Engine,
+        figures: &Figures<'a>,
         ask: &Ask,
         part_ms: f64,
         patience: f64,
     ) -> Option<Candidate<'a>> {
+        let engine = figures.engine;
         let slots = self.speed.profile().slots as usize;
         if engine.helping() >= slots {
             return None;
         }
-        let backlog = engine.backlog_ms(self.now);
+        let backlog = figures.backlog_ms;
         if backlog > LONGEST_BACKLOG_MS * patience {
             return None;
         }
-        let pass = engine.pass_ms(self.speed, 0);
-        let tightest = engine.tightest();
+        let (pass, tightest) = (figures.pass_ms, figures.tightest);
         let tight_here = tightest.is_some_and(|pause| pause <= TIGHT_PAUSE);
         if let Some(pause) = tightest
             && pass + backlog + part_ms > pause.as_secs_f64() * 1_000.0 * PAUSE_SHARE
@@ -213,7 +244,7 @@
         Some(Candidate {
             engine,
             own_ms,
-            helping_ms: engine.helping_ms(self.now) + waiting_pass + part_ms,
+            helping_ms: figures.helping_ms + waiting_pass + part_ms,
             cost,
         })
     }
--- a/crates/kernel/tests/fuzz.rs
+++ b/crates/kernel/tests/fuzz.rs
@@ -1,29 +1,15 @@
 //! Random input for what reads bytes and numbers from outside; a failed input is kept beside it.
 
+mod support;
+
 use std::time::Duration;
 
-use filbertstage_kernel::catalogue::{Entry, Identity, Profile, State};
+use filbertstage_kernel::catalogue::{Identity, Profile};
 use filbertstage_kernel::event::Splitter;
 use filbertstage_kernel::place::{Ask, Load, LoadId, Pool, Speed};
 use filbertstage_kernel::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-const NOW: Instant = Instant::from_millis(100_000);
-
-/// The same inputs at every run; other ones with `PROPTEST_RNG_SEED`.
-fn seeded(cases: u32) -> ProptestConfig {
-    let usual = ProptestConfig::default();
-    let rng_seed = match usual.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(20_261_204),
-        given @ RngSeed::Fixed(_) => given,
-    };
-    ProptestConfig {
-        cases,
-        rng_seed,
-        ..usual
-    }
-}
+use support::{NOW, entries};
 
 /// Numbers as they come, with the ends of their range.
 fn number() -> impl Strategy<Value = u64> {
@@ -72,21 +58,8 @@
     })
 }
 
-fn engines(count: u32) -> Vec<Entry> {
-    let entry = |index: u32| Entry {
-        name: Endpoint::from(format!("engine-{index}")),
-        born: 1,
-        service: Service::from("writer"),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: Domain::from("cannock"),
-        slots: 16,
-        state: State::Ready,
-    };
-    (0..count).map(entry).collect()
-}
-
 proptest! {
-    #![proptest_config(seeded(400))]
+    #![proptest_config(ProptestConfig::with_cases(400))]
 
     /// What clients and operators name cannot break a pool for the others that wait there.
     #[test]
@@ -96,7 +69,7 @@
         pass in 0..20_000_u64,
     ) {
         let mut pool = Pool::new(Speed::new(profile), Domain::from("cannock"), 1);
-        pool.set_engines(engines(6).iter());
+        pool.set_engines(entries(6).iter());
         let count = asks.len();
         for ask in asks {
             pool.submit(ask, NOW);
@@ -113,11 +86,8 @@
         loads in prop::collection::vec((any::<u64>(), any::<[u32; 3]>(), any::<bool>()), 1..40),
         ask in ask(),
     ) {
-        let usual = Profile { slots: 16, memory_tokens: 450_000, stride: 46, step_ms: 0.925,
-            writer_ms: 0.004_83, context_ms: 0.002_54, read_per_s: 256_000.0, pairs_ms: 0.0917,
-            chunk: 2_048, hop_ms: 0.1 };
-        let mut pool = Pool::new(Speed::new(usual), Domain::from("cannock"), 1);
-        let entries = engines(4);
+        let mut pool = Pool::new(Speed::new(support::profile()), Domain::from("cannock"), 1);
+        let entries = entries(4);
         pool.set_engines(entries.iter());
         for (index, (tokens, millis, writes)) in (0_u32..).zip(loads) {
             let millis = millis.map(|millis| Duration::from_millis(millis.into()));
--- /dev/null
+++ b/crates/kernel/tests/meeting.rs
@@ -0,0 +1,148 @@
+//! Hosts that choose engines in the same moment and tell each other, without a network.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertstage_kernel::place::{Load, LoadId, Plan, Verdict};
+use rstest::rstest;
+use support::*;
+
+/// Pattern: at many hosts long prompts wait, engines become free, and all hosts see it at once.
+#[test]
+fn long_prompts_of_hosts_that_choose_at_once_do_not_meet_on_an_engine() {
+    const HOSTS: u64 = 5;
+    const ENGINES: u32 = 60;
+    let mut pools: Vec<_> = (1..=HOSTS).map(|holder| pool_of(holder, ENGINES)).collect();
+    let mut kept: Vec<(LoadId, Plan)> = Vec::new();
+    let mut losses = 0;
+    while kept.len() < pools.len() {
+        let chosen: Vec<_> = pools
+            .iter_mut()
+            .enumerate()
+            .filter(|(index, _)| kept.iter().all(|(id, _)| id.holder != *index as u64 + 1))
+            .map(|(_, pool)| start(pool, long(210_000, NOW), NOW).expect("engines are free"))
+            .collect();
+        for (id, plan) in &chosen {
+            let others = pools
+                .iter_mut()
+                .zip(1..)
+                .filter(|(_, holder)| *holder != id.holder);
+            for (pool, _) in others {
+                for (engine, load) in &plan.loads {
+                    pool.hear(*id, *engine, *load, NOW);
+                }
+            }
+        }
+        for (id, plan) in chosen {
+            let holder = usize::try_from(id.holder).expect("small");
+            if pools[holder - 1].settle(id) {
+                kept.push((id, plan));
+            } else {
+                losses += 1;
+                for pool in &mut pools {
+                    pool.release(id);
+                }
+            }
+        }
+    }
+    assert!(losses > 0, "they choose alike");
+    let mut engines: Vec<_> = kept
+        .iter()
+        .flat_map(|(_, plan)| plan.loads.iter().map(|(engine, _)| *engine))
+        .collect();
+    let placed = engines.len();
+    engines.sort();
+    engines.dedup();
+    assert_eq!(engines.len(), placed, "two prompts meet on an engine");
+}
+
+/// Pattern: in a burst a host's account takes several frames, and they arrive in any order.
+#[rstest]
+#[case::in_order([0, 1])]
+#[case::the_other_way_round([1, 0])]
+fn an_account_in_several_frames_loses_nothing(#[case] order: [usize; 2]) {
+    const EACH: u32 = 10;
+    let mut pool = pool(2);
+    let id = |sequence| LoadId {
+        holder: OTHER,
+        sequence,
+    };
+    let engine = entries(1)[0].identity();
+    let told = |account, told| Load {
+        told,
+        ..part(account, true)
+    };
+    let ended = id(1_000);
+    pool.hear(ended, engine, told(20, 6), NOW);
+    for frame in order {
+        for sequence in (0..EACH).map(|index| index + EACH * u32::try_from(frame).unwrap_or(0)) {
+            pool.correct(id(sequence), engine, told(20, 7));
+        }
+    }
+    let news = id(2_000);
+    pool.hear(news, engine, told(20, 7), NOW);
+    pool.reconcile(OTHER, 7);
+    let loads = pool.engine_mut(engine).expect("known").loads().count();
+    assert_eq!(loads, 2 * EACH as usize + 1, "all but the one that ended");
+}
+
+/// Pattern: a long prompt is placed while another host's short one comes to the same engine.
+#[test]
+fn a_short_prompt_takes_no_claim_away() {
+    let mut pool = pool(1);
+    let (id, plan) = start(&mut pool, long(40_000, NOW), NOW).expect("an engine is free");
+    for sequence in 0..20 {
+        let other = LoadId {
+            holder: OTHER,
+            sequence,
+        };
+        pool.hear(other, plan.first, part(20, true), NOW);
+    }
+    assert!(pool.settle(id));
+}
+
+/// Pattern: in a burst of short prompts several hosts want the last slot of an engine.
+#[test]
+fn one_of_the_hosts_that_choose_the_last_slot_gets_it() {
+    const SLOTS: u32 = 16;
+    let mut pools: Vec<_> = (1..=3).map(|holder| pool_of(holder, 1)).collect();
+    let engine = entries(1)[0].identity();
+    for pool in &mut pools {
+        for sequence in 0..SLOTS - 1 {
+            let id = LoadId {
+                holder: 9,
+                sequence,
+            };
+            let writes = Load {
+                read: true,
+                pause: Duration::from_millis(200),
+                ..part(0, true)
+            };
+            pool.put(id, engine, writes, NOW);
+        }
+    }
+    let chosen: Vec<_> = pools
+        .iter_mut()
+        .map(|pool| start(pool, short(NOW), NOW).expect("a slot is left"))
+        .collect();
+    for (index, pool) in pools.iter_mut().enumerate() {
+        for (other, (id, plan)) in chosen.iter().enumerate() {
+            if other != index {
+                pool.hear(*id, plan.first, plan.loads[0].1, NOW);
+            }
+        }
+    }
+    let settled = chosen.iter().zip(&mut pools);
+    let kept: Vec<_> = settled.map(|((id, _), pool)| pool.settle(*id)).collect();
+    assert_eq!(kept.iter().filter(|kept| **kept).count(), 1, "{kept:?}");
+}
+
+/// Pattern: short prompts come all the time and cost an engine little; nothing waits for them.
+#[test]
+fn short_prompts_start_without_a_claim() {
+    let mut pool = pool(4);
+    pool.submit(short(NOW), NOW);
+    let verdicts = pool.assign(NOW);
+    assert!(matches!(verdicts[0].1, Verdict::Start(..)));
+}
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -1,86 +1,15 @@
 //! Who waits and where work goes: the patterns of the heaviest days, without a network.
 
+mod support;
+
 use std::time::Duration;
 
-use filbertstage_kernel::catalogue::{Entry, Identity, Profile, State};
+use filbertstage_kernel::catalogue::{Entry, Identity};
 use filbertstage_kernel::outlier::Judgement;
-use filbertstage_kernel::place::{Ask, Load, LoadId, Plan, Pool, Speed, Verdict};
+use filbertstage_kernel::place::{Ask, Load, LoadId, Pool, Speed, Verdict};
 use filbertstage_kernel::prelude::*;
 use rstest::rstest;
-
-const NOW: Instant = Instant::from_millis(100_000);
-const OWN: u64 = 1;
-const OTHER: u64 = 2;
-
-/// The published formula of the engines that the patterns were seen on.
-fn profile() -> Profile {
-    Profile {
-        slots: 16,
-        memory_tokens: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        writer_ms: 0.004_83,
-        context_ms: 0.002_54,
-        read_per_s: 256_000.0,
-        pairs_ms: 0.0917,
-        chunk: 2_048,
-        hop_ms: 0.1,
-    }
-}
-
-fn entries(count: u32) -> Vec<Entry> {
-    let entry = |index: u32| Entry {
-        name: Endpoint::from(format!("engine-{index}")),
-        born: 1,
-        service: Service::from("writer"),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: Domain::from("cannock"),
-        slots: 16,
-        state: State::Ready,
-    };
-    (0..count).map(entry).collect()
-}
-
-fn pool(count: u32) -> Pool {
-    pool_of(OWN, count)
-}
-
-fn pool_of(holder: u64, count: u32) -> Pool {
-    let mut pool = Pool::new(Speed::new(profile()), Domain::from("cannock"), holder);
-    pool.set_engines(entries(count).iter());
-    pool
-}
-
-fn ask(prompt: u64, objective_ms: u64, pause_ms: u64, now: Instant) -> Ask {
-    Ask {
-        prompt,
-        answer: 1_600,
-        due: now + Duration::from_millis(objective_ms),
-        deadline: now + Duration::from_millis(objective_ms * 10),
-        pause: Duration::from_millis(pause_ms),
-        priority: 1,
-        begun: false,
-        excluded: Vec::new(),
-    }
-}
-
-fn short(now: Instant) -> Ask {
-    ask(5_000, 300, 200, now)
-}
-
-fn long(prompt: u64, now: Instant) -> Ask {
-    ask(prompt, 3_000, 800, now)
-}
-
-fn start(pool: &mut Pool, ask: Ask, now: Instant) -> Option<(LoadId, Plan)> {
-    let ticket = pool.submit(ask, now);
-    let mut verdicts = pool.assign(now);
-    let index = verdicts.iter().position(|(other, _)| *other == ticket)?;
-    match verdicts.swap_remove(index).1 {
-        Verdict::Start(id, plan) | Verdict::Claim(id, plan) => Some((id, plan)),
-        Verdict::Refuse(_) => None,
-    }
-}
+use support::*;
 
 #[rstest]
 #[case::short(5_000, 20.0, 24.0)]
@@ -211,19 +140,6 @@
     assert!(matches!(verdicts[0], (first, Verdict::Start(..)) if first == ticket));
 }
 
-fn part(work_ms: u64, writes: bool) -> Load {
-    Load {
-        tokens: 1_000,
-        work: Duration::from_millis(work_ms),
-        read_by: NOW + Duration::from_millis(work_ms),
-        read: false,
-        ends_by: NOW + Duration::from_secs(4),
-        writes,
-        pause: Duration::from_millis(800),
-        told: 0,
-    }
-}
-
 fn backlog(pool: &mut Pool, engine: Identity) -> f64 {
     let engine = pool.engine_mut(engine).expect("known");
     engine.backlog_ms(NOW)
@@ -328,109 +244,6 @@
     assert!(plan.loads.iter().any(|(engine, _)| !near.contains(engine)));
 }
 
-/// Pattern: at many hosts long prompts wait, engines become free, and all hosts see it at once.
-#[test]
-fn long_prompts_of_hosts_that_choose_at_once_do_not_meet_on_an_engine() {
-    const HOSTS: u64 = 5;
-    const ENGINES: u32 = 60;
-    let mut pools: Vec<_> = (1..=HOSTS).map(|holder| pool_of(holder, ENGINES)).collect();
-    let mut kept: Vec<(LoadId, Plan)> = Vec::new();
-    let mut losses = 0;
-    while kept.len() < pools.len() {
-        let chosen: Vec<_> = pools
-            .iter_mut()
-            .enumerate()
-            .filter(|(index, _)| kept.iter().all(|(id, _)| id.holder != *index as u64 + 1))
-            .map(|(_, pool)| start(pool, long(210_000, NOW), NOW).expect("engines are free"))
-            .collect();
-        for (id, plan) in &chosen {
-            let others = pools
-                .iter_mut()
-                .zip(1..)
-                .filter(|(_, holder)| *holder != id.holder);
-            for (pool, _) in others {
-                for (engine, load) in &plan.loads {
-                    pool.hear(*id, *engine, *load, NOW);
-                }
-            }
-        }
-        for (id, plan) in chosen {
-            let holder = usize::try_from(id.holder).expect("small");
-            if pools[holder - 1].settle(id) {
-                kept.push((id, plan));
-            } else {
-                losses += 1;
-                for pool in &mut pools {
-                    pool.release(id);
-                }
-            }
-        }
-    }
-    assert!(losses > 0, "they choose alike");
-    let mut engines: Vec<_> = kept
-        .iter()
-        .flat_map(|(_, plan)| plan.loads.iter().map(|(engine, _)| *engine))
-        .collect();
-    let placed = engines.len();
-    engines.sort();
-    engines.dedup();
-    assert_eq!(engines.len(), placed, "two prompts meet on an engine");
-}
-
-/// Pattern: in a burst a host's account takes several frames, and they arrive in any order.
-#[rstest]
-#[case::in_order([0, 1])]
-#[case::the_other_way_round([1, 0])]
-fn an_account_in_several_frames_loses_nothing(#[case] order: [usize; 2]) {
-    const EACH: u32 = 10;
-    let mut pool = pool(2);
-    let id = |sequence| LoadId {
-        holder: OTHER,
-        sequence,
-    };
-    let engine = entries(1)[0].identity();
-    let told = |account, told| Load {
-        told,
-        ..part(account, true)
-    };
-    let ended = id(1_000);
-    pool.hear(ended, engine, told(20, 6), NOW);
-    for frame in order {
-        for sequence in (0..EACH).map(|index| index + EACH * u32::try_from(frame).unwrap_or(0)) {
-            pool.correct(id(sequence), engine, told(20, 7));
-        }
-    }
-    let news = id(2_000);
-    pool.hear(news, engine, told(20, 7), NOW);
-    pool.reconcile(OTHER, 7);
-    let loads = pool.engine_mut(engine).expect("known").loads().count();
-    assert_eq!(loads, 2 * EACH as usize + 1, "all but the one that ended");
-}
-
-/// Pattern: short prompts come all the time and cost an engine little; nothing waits for them.
-#[test]
-fn short_prompts_start_without_a_claim() {
-    let mut pool = pool(4);
-    pool.submit(short(NOW), NOW);
-    let verdicts = pool.assign(NOW);
-    assert!(matches!(verdicts[0].1, Verdict::Start(..)));
-}
-
-/// Pattern: a long prompt is placed while another host's short one comes to the same engine.
-#[test]
-fn a_short_prompt_takes_no_claim_away() {
-    let mut pool = pool(1);
-    let (id, plan) = start(&mut pool, long(40_000, NOW), NOW).expect("an engine is free");
-    for sequence in 0..20 {
-        let other = LoadId {
-            holder: OTHER,
-            sequence,
-        };
-        pool.hear(other, plan.first, part(20, true), NOW);
-    }
-    assert!(pool.settle(id));
-}
-
 /// Pattern: a burst of long prompts fills the engines, and more come than can wait.
 #[test]
 fn who_is_refused_is_told_when_enough_engines_have_room() {
@@ -476,39 +289,3 @@
         "they come back at different times: {told:?}"
     );
 }
-
-/// Pattern: in a burst of short prompts several hosts want the last slot of an engine.
-#[test]
-fn one_of_the_hosts_that_choose_the_last_slot_gets_it() {
-    const SLOTS: u32 = 16;
-    let mut pools: Vec<_> = (1..=3).map(|holder| pool_of(holder, 1)).collect();
-    let engine = entries(1)[0].identity();
-    for pool in &mut pools {
-        for sequence in 0..SLOTS - 1 {
-            let id = LoadId {
-                holder: 9,
-                sequence,
-            };
-            let writes = Load {
-                read: true,
-                pause: Duration::from_millis(200),
-                ..part(0, true)
-            };
-            pool.put(id, engine, writes, NOW);
-        }
-    }
-    let chosen: Vec<_> = pools
-        .iter_mut()
-        .map(|pool| start(pool, short(NOW), NOW).expect("a slot is left"))
-        .collect();
-    for (index, pool) in pools.iter_mut().enumerate() {
-        for (other, (id, plan)) in chosen.iter().enumerate() {
-            if other != index {
-                pool.hear(*id, plan.first, plan.loads[0].1, NOW);
-            }
-        }
-    }
-    let settled = chosen.iter().zip(&mut pools);
-    let kept: Vec<_> = settled.map(|((id, _), pool)| pool.settle(*id)).collect();
-    assert_eq!(kept.iter().filter(|kept| **kept).count(), 1, "{kept:?}");
-}
--- a/crates/node/src/deferred.rs
+++ b/crates/node/src/deferred.rs
@@ -142,7 +142,8 @@
 async fn run_until_ended(shared: &Arc<Shared>, id: Id) -> Option<(Kept, (u16, String))> {
     loop {
         let kept = find(shared, id)?;
-        if kept.owner != shared.incarnation || kept.answer.is_some() {
+        let owned = shared.tables.deferred.lock().owns(id);
+        if !owned || kept.answer.is_some() {
             return None;
         }
         let answer = api::run_deferred(shared, &kept).await;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -197,8 +197,7 @@
 async fn free_one(shared: Arc<Shared>, endpoint: Endpoint, attempt: Attempt) {
     let Some(Client::Engine(engine)) = shared.client(&endpoint) else {
         // The endpoint is not listed any more: it is gone with all it held.
-        let now = shared.now();
-        shared.tables.ledger.lock().confirm(now, &endpoint, attempt);
+        shared.tables.ledger.lock().forget_endpoint(&endpoint);
         return;
     };
     match engine.free(attempt).await {
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -3,26 +3,11 @@
 use filbertstage_wire::datagram;
 use filbertstage_wire::placement::Placements;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const KEY: &[u8] = b"a key of hosts";
 
-/// The same inputs at every run; other ones with `PROPTEST_RNG_SEED`.
-fn seeded(cases: u32) -> ProptestConfig {
-    let usual = ProptestConfig::default();
-    let rng_seed = match usual.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(20_261_204),
-        given @ RngSeed::Fixed(_) => given,
-    };
-    ProptestConfig {
-        cases,
-        rng_seed,
-        ..usual
-    }
-}
-
 proptest! {
-    #![proptest_config(seeded(2_000))]
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
 
     /// Nothing but what a host sealed is ever taken for a frame.
     #[test]
