Teach the stand-ins eras of the store, leaving endpoints and Retry-After

The log can return from an older copy: offsets go back, a read from an offset that it does not have gets 410, and each response names the era. Endpoints can announce that they leave, and reject a request for a given time.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -8,6 +8,7 @@
 use adapter::names;
 use async_trait::async_trait;
 use bytes::Bytes;
+use http::header::RETRY_AFTER;
 use http::{HeaderValue, Response, StatusCode};
 use parking_lot::Mutex;
 use relay::body::{Body, Error};
@@ -33,6 +34,9 @@
     MismatchedResponse,
     /// Rejects the request with the header that says it was not run.
     Reject,
+    /// Like [`Fault::Reject`], with this text as the time in seconds after which the caller may
+    /// come back.
+    RejectFor(&'static str),
     /// Runs the request and responds with status 500.
     Fail,
 }
@@ -56,6 +60,9 @@
     runs: Vec<Run>,
     reserved_tokens: HashMap<String, u64>,
     reservation_count: usize,
+    commands: usize,
+    rejections: usize,
+    leaving: bool,
     command_delay: Duration,
     last_command_at: Option<Instant>,
     longest_command_gap: Option<Duration>,
@@ -111,6 +118,23 @@
         self.state.lock().faults.push(fault);
     }
 
+    /// Sets whether the endpoint says in all its responses that it leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.lock().leaving = leaving;
+    }
+
+    /// Returns the number of requests that the endpoint has rejected.
+    #[must_use]
+    pub fn rejections(&self) -> usize {
+        self.state.lock().rejections
+    }
+
+    /// Returns the number of commands that the endpoint has received.
+    #[must_use]
+    pub fn commands(&self) -> usize {
+        self.state.lock().commands
+    }
+
     /// Returns the requests that the endpoint has started to run.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -141,6 +165,7 @@
     async fn handle_command(&self, body: &[u8]) -> Response<Body> {
         let time = {
             let mut state = self.state.lock();
+            state.commands += 1;
             let now = Instant::now();
             let gap = state.last_command_at.replace(now).map(|last| now - last);
             state.longest_command_gap = state.longest_command_gap.max(gap);
@@ -256,9 +281,19 @@
     format!("id: {index}\ndata: piece {index}\n\n").into()
 }
 
-#[async_trait]
-impl Handler for Endpoint {
-    async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+/// Builds the response to a request that was not run.
+fn rejection(fault: Option<Fault>) -> Response<Body> {
+    let mut response = json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+    let headers = response.headers_mut();
+    headers.insert(names::NOT_RUN, HeaderValue::from_static("1"));
+    if let Some(Fault::RejectFor(seconds)) = fault {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static(seconds));
+    }
+    response
+}
+
+impl Endpoint {
+    async fn respond(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
         if request.uri.path() == names::CONTROL_PATH {
             return Some(self.handle_command(&request.body).await);
         }
@@ -267,11 +302,9 @@
             return Some(json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})));
         }
         let fault = self.state.lock().faults.pop();
-        if fault == Some(Fault::Reject) {
-            let mut response = json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
-            let not_run = HeaderValue::from_static("1");
-            response.headers_mut().insert(names::NOT_RUN, not_run);
-            return Some(response);
+        if let Some(Fault::Reject | Fault::RejectFor(_)) = fault {
+            self.state.lock().rejections += 1;
+            return Some(rejection(fault));
         }
         let run = self.record_start(&request);
         if fault == Some(Fault::LoseResponse) {
@@ -298,3 +331,15 @@
         Some(response)
     }
 }
+
+#[async_trait]
+impl Handler for Endpoint {
+    async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+        let mut response = Arc::clone(&self).respond(request).await?;
+        if self.state.lock().leaving {
+            let leaving = HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", leaving);
+        }
+        Some(response)
+    }
+}
--- a/crates/fakes/src/site/log.rs
+++ b/crates/fakes/src/site/log.rs
@@ -1,9 +1,9 @@
 //! A fake of the platform's log, which is the store of the relay: keyed topics with one partition
-//! each, long polling and outages.
+//! each, long polling, outages and the return from an older copy.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use adapter::names;
@@ -11,7 +11,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use parking_lot::Mutex;
 use relay::body::Body;
 use serde_json::{Value, json};
@@ -24,19 +24,25 @@
 /// Key and value of a record. An empty value deletes the key.
 type Record = (String, Bytes);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<Record>,
     /// Offset of the first record that reads still return.
     first_offset: usize,
 }
 
+/// The content of a log at one moment.
+pub struct Copy(HashMap<String, Topic>);
+
 /// A fake log.
 #[derive(Default)]
 pub struct Log {
     topics: Mutex<HashMap<String, Topic>>,
     appended: Notify,
     down: AtomicBool,
+    era: AtomicU64,
+    /// Replaces the header with the era on every response, so that a test can send malformed ones.
+    era_header: Mutex<Option<HeaderValue>>,
 }
 
 impl Log {
@@ -64,6 +70,34 @@
         self.down.store(down, Ordering::SeqCst);
     }
 
+    /// Copies the content of the log.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        Copy(self.topics.lock().clone())
+    }
+
+    /// Replaces the content by that of an earlier `copy` and starts the next era. Everything that
+    /// was acknowledged since then is lost, and its offsets are assigned again.
+    pub fn restore(&self, copy: &Copy) {
+        self.topics.lock().clone_from(&copy.0);
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.appended.notify_waiters();
+    }
+
+    /// Sends `value` as the era on every response, instead of the era of the content.
+    pub fn set_era_header(&self, value: Option<HeaderValue>) {
+        *self.era_header.lock() = value;
+    }
+
+    /// Returns the newest value of `key` in a topic, or `None` if the topic does not have the key.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let topics = self.topics.lock();
+        let mut records = topics.get(topic)?.records.iter().rev();
+        let (_, value) = records.find(|(other, _)| other == key)?;
+        (!value.is_empty()).then(|| value.clone())
+    }
+
     /// Makes the current records of a topic unreadable by offset. The newest record of each key
     /// stays available.
     pub fn truncate(&self, topic: &str) {
@@ -105,13 +139,17 @@
         json!({ "items": items, "hasMore": false, "endOffset": end })
     }
 
-    /// Returns the records from offset `from`, or `None` if some of them are no longer retained.
+    /// Returns the records from offset `from`, or `None` if the log no longer has that offset or
+    /// does not have it yet.
     fn read(&self, topic: &str, from: usize) -> Option<Vec<Record>> {
         let topics = self.topics.lock();
         let Some(topic) = topics.get(topic) else {
-            return Some(Vec::new());
+            return (from == 0).then(Vec::new);
         };
-        (from >= topic.first_offset).then(|| topic.records.get(from..).unwrap_or_default().to_vec())
+        let records = topic.records.get(from..);
+        records
+            .filter(|_| from >= topic.first_offset)
+            .map(<[Record]>::to_vec)
     }
 
     async fn long_poll(&self, topic: &str, from: usize, wait: Duration) -> Response<Body> {
@@ -141,17 +179,16 @@
     }
 }
 
-#[async_trait]
-impl Handler for Log {
-    async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+impl Log {
+    async fn respond(&self, request: Request) -> Response<Body> {
         if self.down.load(Ordering::SeqCst) {
-            return Some(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         let topic: String = query_param(&request.uri, "topic").unwrap_or_default();
         let from = query_param(&request.uri, "from").unwrap_or(0);
         let wait =
             query_param(&request.uri, "waitMs").map_or(Duration::ZERO, Duration::from_millis);
-        Some(match request.uri.path() {
+        match request.uri.path() {
             names::LOG_APPEND_PATH => match self.append(&topic, request.body) {
                 Some(appended) => json_response(StatusCode::OK, &appended),
                 None => json_response(StatusCode::BAD_REQUEST, &json!({})),
@@ -159,6 +196,18 @@
             names::LOG_READ_PATH => self.long_poll(&topic, from, wait).await,
             names::LOG_NEWEST_PATH => json_response(StatusCode::OK, &self.read_newest(&topic)),
             _ => json_response(StatusCode::NOT_FOUND, &json!({})),
-        })
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Log {
+    async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+        let mut response = self.respond(request).await;
+        let era = self.era.load(Ordering::SeqCst) + 1;
+        let set = self.era_header.lock().clone();
+        let value = set.unwrap_or_else(|| HeaderValue::from(era));
+        response.headers_mut().insert("store-era", value);
+        Some(response)
     }
 }
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -15,7 +15,7 @@
 
 pub use endpoint::{Endpoint, Fault, Run, stream_event};
 pub use http1::Server;
-pub use log::Log;
+pub use log::{Copy, Log};
 
 /// Value of the `Host` header that the routes match.
 pub const HOST: &str = "site.example";
