Wait for the log to be read again before a call is refused

Cause: a call that must not be repeated was refused for 5 s whenever the log's last read was more than 3 s old. After an outage the node reads again within 250 ms, but calls in that time were still refused, also those that another node forwarded.

Change: such a call waits for the reads in progress, at most 500 ms.

--- a/bin/filbertctl/tests/suite/partitions.rs
+++ b/bin/filbertctl/tests/suite/partitions.rs
@@ -83,6 +83,41 @@
     eventually("freeing", || fleet.kv_used() == 0).await;
 }
 
+/// A call that arrives while the log is being read again after an outage waits for that read and is
+/// not refused.
+#[tokio::test]
+async fn calls_run_as_soon_as_the_log_can_be_reached_again() {
+    let fleet = start_two_domains().await;
+    let path = format!("/v1/services/{SERVICE}/{BOOKING_CALL}");
+    let key = fleet::workspace_key(0);
+    for round in 0..2 {
+        for member in fleet.members() {
+            member.platform_partition.set(true);
+        }
+        // Longer than the age at which the claims count as stale.
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        for member in fleet.members() {
+            member.platform_partition.set(false);
+        }
+        let addresses = fleet.caller_addresses();
+        let calls = addresses.iter().enumerate().map(|(index, address)| {
+            let (key, path) = (key.clone(), path.clone());
+            async move {
+                let name = format!("gate-{round}-{index}");
+                caller::call(*address, &key, &path, &name, TIME_LIMIT).await
+            }
+        });
+        for (index, answer) in futures_util::future::join_all(calls)
+            .await
+            .iter()
+            .enumerate()
+        {
+            assert_eq!(answer.0, End::Whole, "node {index}: {}", answer.1);
+        }
+    }
+    assert!(fleet.service.executions().values().all(|count| *count == 1));
+}
+
 #[tokio::test]
 async fn plan_limits_hold_during_a_partition() {
     let mut plan = fleet::Plan::new(&DOMAINS, 1);
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -223,7 +223,8 @@
             "send a key of your own in the Idempotency-Key header".to_owned(),
         ));
     }
-    if !follow::claims_fresh(shared) {
+    let deadline = tokio::time::Instant::now() + remaining(shared, call);
+    if !follow::wait_until_claims_fresh(shared, deadline).await {
         let what = "the log cannot be read, and the call may not run without it".to_owned();
         return Err(Refusal::Unavailable(what, LOG_RETRY_AFTER));
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -25,6 +25,10 @@
 const READ_WAIT: Duration = Duration::from_secs(1);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Longest wait of a call for a log that can perhaps be reached again: two failed reads.
+const RECOVERY_WAIT: Duration = Duration::from_millis(500);
+/// Interval of checking whether the log has been read again.
+const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Age of the last read after which a node pulls the lists from its peers.
 const LISTS_STALE_AFTER: Duration = Duration::from_millis(2_500);
 /// Interval between two pulls from peers.
@@ -56,7 +60,7 @@
 }
 
 /// Whether the claims stream was read to its end less than [`CLAIMS_STALE_AFTER`] ago.
-pub(crate) fn claims_fresh(shared: &Shared) -> bool {
+fn claims_fresh(shared: &Shared) -> bool {
     is_fresh(
         &shared.tables.progress.claims,
         shared.now(),
@@ -64,6 +68,24 @@
     )
 }
 
+/// Waits until the claims stream has been read to its end recently; returns false at `deadline`.
+///
+/// Failed reads are repeated every [`RETRY_DELAY`], so a log that can be reached again is read
+/// within [`RECOVERY_WAIT`].
+pub(crate) async fn wait_until_claims_fresh(
+    shared: &Shared,
+    deadline: tokio::time::Instant,
+) -> bool {
+    let deadline = deadline.min(tokio::time::Instant::now() + RECOVERY_WAIT);
+    while !claims_fresh(shared) {
+        if tokio::time::Instant::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(RECOVERY_POLL_INTERVAL).await;
+    }
+    true
+}
+
 /// Waits until a claim on `key` has been read from the log; returns false at `deadline`.
 pub(crate) async fn wait_for_claim(
     shared: &Shared,
