--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -1,6 +1,7 @@
 //! Balances requests over the endpoints of a plain service, which has no engines.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
@@ -26,8 +27,8 @@
     /// Returns the endpoint with the fewest running requests per slot, preferring those in
     /// `domain`.
     ///
-    /// Endpoints in `excluded` are never returned. Ejected endpoints are skipped unless every
-    /// endpoint that is not excluded is ejected.
+    /// Endpoints in `excluded` and those that want no requests are never returned. Ejected
+    /// endpoints are skipped unless all others are ejected too.
     #[must_use]
     pub fn pick<'a>(
         &self,
@@ -38,6 +39,7 @@
     ) -> Option<&'a Entry> {
         let all: Vec<_> = entries
             .filter(|entry| !excluded.contains(&entry.identity()))
+            .filter(|entry| self.backoff(entry.identity(), now).is_none())
             .collect();
         let healthy: Vec<_> = all
             .iter()
@@ -71,6 +73,28 @@
             .is_some_and(|stats| stats.health.is_ejected(now))
     }
 
+    fn backoff(&self, identity: Identity, now: Instant) -> Option<Duration> {
+        let stats = self.endpoints.get(&identity)?;
+        stats.health.backoff(now)
+    }
+
+    /// Returns the time after which the first of the endpoints that want no requests accepts them
+    /// again, or `None` if there is no such endpoint.
+    pub fn shortest_backoff<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a Entry>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let backoffs = entries.filter_map(|entry| self.backoff(entry.identity(), now));
+        backoffs.min()
+    }
+
+    /// Records that an endpoint wants no requests for `time`.
+    pub fn back_off(&mut self, identity: Identity, time: Duration, now: Instant) {
+        let stats = self.endpoints.entry(identity).or_default();
+        stats.health.back_off(time, now);
+    }
+
     /// Increments the number of running requests of an endpoint.
     pub fn record_start(&mut self, identity: Identity) {
         self.endpoints.entry(identity).or_default().running += 1;
--- a/crates/kernel/src/catalogue/mod.rs
+++ b/crates/kernel/src/catalogue/mod.rs
@@ -4,6 +4,7 @@
 //! an older version. A [`Directory`] holds the registered endpoints.
 
 mod configuration;
+mod departure;
 mod directory;
 
 pub use configuration::{
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod place;
+pub mod position;
 pub mod reconcile;
 pub mod request;
 pub mod resume;
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -82,6 +82,8 @@
     failures: u32,
     unresponsive: bool,
     ejected_until: Option<Instant>,
+    /// End of the time for which the endpoint wants no requests from this host.
+    backoff_until: Option<Instant>,
 }
 
 impl Health {
@@ -94,9 +96,26 @@
         }
     }
 
-    /// Resets the failure count and ends an ejection.
+    /// Resets the failure count and ends an ejection. A backoff goes on: the success may belong to
+    /// a request that was sent before it.
     fn record_success(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            backoff_until: self.backoff_until,
+            ..Self::default()
+        };
+    }
+
+    /// Records that the endpoint wants no requests for `time`.
+    pub fn back_off(&mut self, time: Duration, now: Instant) {
+        self.backoff_until = self.backoff_until.max(Some(now + time));
+    }
+
+    /// Returns the rest of the time for which the endpoint wants no requests, or `None` if it
+    /// accepts them.
+    #[must_use]
+    pub fn backoff(&self, now: Instant) -> Option<Duration> {
+        let until = self.backoff_until.filter(|until| *until > now)?;
+        Some(until.since(now))
     }
 
     /// Counts a failure and ejects the endpoint after `CONSECUTIVE_FAILURES`.
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -122,6 +122,36 @@
         }
     }
 
+    /// Records that an engine wants no requests for `time`; returns whether the engine is known.
+    pub fn back_off(&mut self, identity: Identity, time: Duration, now: Instant) -> bool {
+        let engine = self.engines.get_mut(&identity);
+        engine.is_some_and(|engine| {
+            engine.health.back_off(time, now);
+            true
+        })
+    }
+
+    /// Returns the rest of the time for which an engine wants no requests, or `None` if it accepts
+    /// them.
+    #[must_use]
+    pub fn backoff(&self, identity: Identity, now: Instant) -> Option<Duration> {
+        self.engines.get(&identity)?.health.backoff(now)
+    }
+
+    /// Returns the time after which the first engine accepts requests, if none that the request
+    /// may use accepts them now and some engines want none for a while.
+    fn shortest_backoff(&self, request: &Request, now: Instant) -> Option<Duration> {
+        let mut shortest: Option<Duration> = None;
+        for engine in self.engines.values() {
+            match engine.health.backoff(now) {
+                Some(rest) => shortest = Some(shortest.map_or(rest, |least| least.min(rest))),
+                None if !request.excluded.contains(&engine.identity) => return None,
+                None => {}
+            }
+        }
+        shortest
+    }
+
     /// Returns the engine with this identity.
     pub fn engine_mut(&mut self, identity: Identity) -> Option<&mut Engine> {
         self.engines.get_mut(&identity)
@@ -220,20 +250,33 @@
         } else {
             MIN_WAIT
         });
-        let max_wait = max_wait.min(due);
-        (now.since(queued.submitted) >= max_wait)
+        let wait_left = max_wait
+            .min(due)
+            .saturating_sub(now.since(queued.submitted));
+        if let Some(backoff) = self.shortest_backoff(&queued.request, now)
+            && backoff > wait_left
+        {
+            return Some(Decision::Refuse(backoff));
+        }
+        wait_left
+            .is_zero()
             .then(|| Decision::Refuse(self.retry_after(queued, now)))
     }
 
     fn plan(&self, request: &Request, waited: Duration, now: Instant) -> Option<Plan> {
-        let reachable: Vec<_> = self
+        let accepting: Vec<_> = self
             .engines
             .values()
+            .filter(|engine| engine.health.backoff(now).is_none())
+            .collect();
+        let reachable: Vec<_> = accepting
+            .iter()
+            .copied()
             .filter(|engine| !engine.health.is_unresponsive(now))
             .filter(|engine| !self.domain_health.is_ejected(&engine.domain, now))
             .collect();
         let reachable = if reachable.is_empty() {
-            self.engines.values().collect()
+            accepting
         } else {
             reachable
         };
@@ -379,7 +422,10 @@
         let mut free: Vec<_> = self
             .engines
             .values()
-            .map(|engine| engine.free_at(now).since(now))
+            .map(|engine| {
+                let backoff = engine.health.backoff(now).unwrap_or_default();
+                engine.free_at(now).since(now).max(backoff)
+            })
             .collect();
         free.sort();
         let last = free.get(needed - 1).or(free.last());
--- a/crates/kernel/tests/catalogue.rs
+++ b/crates/kernel/tests/catalogue.rs
@@ -103,10 +103,10 @@
 
 #[test]
 fn a_draining_endpoint_gets_no_new_requests() {
-    let mut directory = Directory::default();
-    assert!(directory.put(entry("i-1", 1, State::Ready)));
-    assert!(!directory.put(entry("i-1", 1, State::Ready)));
-    assert!(directory.put(entry("i-1", 1, State::Draining)));
+    let mut directory = Directory::new(Duration::from_millis(3_600));
+    assert!(directory.put(entry("i-1", 1, State::Ready), at(0)));
+    assert!(!directory.put(entry("i-1", 1, State::Ready), at(0)));
+    assert!(directory.put(entry("i-1", 1, State::Draining), at(0)));
     assert_eq!(directory.ready(&Service::from("desk")).count(), 0);
     assert!(directory.remove(&Endpoint::from("i-1"), at(10)));
     assert_eq!(directory.entries().count(), 0);
@@ -123,14 +123,14 @@
 /// that left right after the outage must receive no requests two seconds later.
 #[test]
 fn an_entry_that_expired_during_an_outage_is_kept_for_less_than_two_seconds() {
-    let mut directory = Directory::default();
-    directory.put(entry("back", 1, State::Ready));
-    directory.put(entry("gone", 1, State::Ready));
+    let mut directory = Directory::new(Duration::from_millis(3_600));
+    directory.put(entry("back", 1, State::Ready), at(0));
+    directory.put(entry("gone", 1, State::Ready), at(0));
     directory.store_recovered(at(10_000));
     assert!(!directory.remove(&Endpoint::from("back"), at(10_000)));
     assert!(!directory.remove(&Endpoint::from("gone"), at(10_100)));
     assert_eq!(directory.ready(&Service::from("desk")).count(), 2);
-    directory.put(entry("back", 1, State::Ready));
+    directory.put(entry("back", 1, State::Ready), at(0));
     let expiry = directory
         .next_expiry()
         .expect("one entry is in its grace period");
@@ -142,16 +142,16 @@
 
 #[test]
 fn a_draining_endpoint_whose_entry_expires_is_removed_at_once() {
-    let mut directory = Directory::default();
-    directory.put(entry("leaving", 1, State::Draining));
+    let mut directory = Directory::new(Duration::from_millis(3_600));
+    directory.put(entry("leaving", 1, State::Draining), at(0));
     directory.store_recovered(at(10_000));
     assert!(directory.remove(&Endpoint::from("leaving"), at(10_000)));
 }
 
 #[test]
 fn replacing_all_entries_removes_those_missing_from_the_store() {
-    let mut directory = Directory::default();
-    directory.put(entry("old", 1, State::Ready));
+    let mut directory = Directory::new(Duration::from_millis(3_600));
+    directory.put(entry("old", 1, State::Ready), at(0));
     directory.replace(vec![entry("new", 1, State::Ready)], at(1_000));
     let names: Vec<_> = directory
         .entries()
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -6,7 +6,8 @@
 use async_trait::async_trait;
 use http::{HeaderMap, StatusCode};
 use kernel::catalogue::{Configuration, Entry};
-use kernel::name::{Endpoint, Host, Workspace};
+use kernel::fleet::Announcement;
+use kernel::name::{Endpoint, Workspace};
 use quick_error::quick_error;
 
 quick_error! {
@@ -81,6 +82,15 @@
     Valid,
 }
 
+/// What an endpoint announces about itself in the headers of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// The endpoint leaves and wants no new requests.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this host.
+    pub backoff: Option<Duration>,
+}
+
 /// Reads and writes the headers of a platform.
 pub trait Dialect: Send + Sync {
     /// Parses the metadata of a client's request.
@@ -96,6 +106,9 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> ResponseClass;
+
+    /// Parses what an endpoint announces about itself in the head of any response.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 }
 
 /// A topic of the platform's store, which all hosts share.
@@ -131,7 +144,7 @@
     /// The removal of an endpoint's entry.
     EndpointRemoved(Endpoint),
     /// A host of this system and its address for other hosts.
-    Host(Host, SocketAddr),
+    Host(Announcement, SocketAddr),
     /// A record that cannot be decoded.
     Unreadable {
         /// The record's key.
@@ -148,6 +161,9 @@
     pub records: Vec<Record>,
     /// Position at which the next read starts.
     pub next: u64,
+    /// Era of the store, which changes when the store returns from an older copy; `None` if the
+    /// store does not say it.
+    pub era: Option<u64>,
 }
 
 /// The platform's store of keyed records.
@@ -164,8 +180,18 @@
     /// Fails with [`Error::Truncated`] if the store no longer keeps that position.
     async fn read_changes(&self, topic: Topic, from: u64, wait: Duration) -> Result<Batch, Error>;
 
-    /// Publishes the address at which other hosts reach this one.
-    async fn announce(&self, host: &Host, address: SocketAddr) -> Result<(), Error>;
+    /// Publishes this host's announcement and the address at which other hosts reach it.
+    async fn announce(&self, announcement: &Announcement, address: SocketAddr)
+    -> Result<(), Error>;
+}
+
+/// An engine's response to a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Whether the command was carried out.
+    pub result: Result<(), Error>,
+    /// What the engine announces about itself.
+    pub notice: Notice,
 }
 
 /// Reservations of memory at engines.
@@ -176,14 +202,8 @@
 pub trait Memory: Send + Sync {
     /// Reserves memory for `tokens` under `ticket`, or renews the reservation. It expires after
     /// `ttl`.
-    async fn reserve(
-        &self,
-        engine: &Entry,
-        ticket: &str,
-        tokens: u64,
-        ttl: Duration,
-    ) -> Result<(), Error>;
+    async fn reserve(&self, engine: &Entry, ticket: &str, tokens: u64, ttl: Duration) -> Reply;
 
     /// Releases a reservation. The call is idempotent.
-    async fn release(&self, engine: &Entry, ticket: &str) -> Result<(), Error>;
+    async fn release(&self, engine: &Entry, ticket: &str) -> Reply;
 }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,55 +1,66 @@
 //! This host's share of the retry budget.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
 
+use kernel::fleet::Fleet;
 use kernel::name::Service;
-use kernel::retry::Budget;
+use kernel::retry::Window;
 use parking_lot::Mutex;
 
+use crate::clock::Clock;
 use crate::settings::Retry;
 
 /// A retry budget for each service.
 ///
-/// Each host has a fixed share of the floor, so that all hosts together stay within the operator's
-/// limit even when they cannot reach each other.
+/// The floor is divided among the hosts that run, so that all hosts together stay within the
+/// operator's limit even when they cannot reach each other.
 #[derive(Debug)]
 pub struct Budgets {
     ratio: f64,
-    /// This host's share of the floor in the settings: the initial and maximum number of retries in
-    /// a budget.
     floor: f64,
-    services: Mutex<HashMap<Service, Budget>>,
+    window: Duration,
+    clock: Clock,
+    fleet: Arc<Mutex<Fleet>>,
+    services: Mutex<HashMap<Service, Window>>,
 }
 
 impl Budgets {
-    /// Creates budgets with one host's share of the limits in `retry`.
+    /// Creates budgets with the limits in `retry`, which the hosts of `fleet` share.
     #[must_use]
-    pub fn new(retry: &Retry) -> Self {
+    pub fn new(retry: &Retry, fleet: Arc<Mutex<Fleet>>, clock: Clock) -> Self {
         Self {
             ratio: retry.ratio,
-            floor: retry.floor / f64::from(retry.hosts.max(1)),
+            floor: retry.floor,
+            window: retry.window(),
+            clock,
+            fleet,
             services: Mutex::default(),
         }
     }
 
-    fn update<T>(&self, service: &Service, change: impl FnOnce(&mut Budget) -> T) -> T {
+    fn update<T>(&self, service: &Service, change: impl FnOnce(&mut Window) -> T) -> T {
         let mut services = self.services.lock();
-        if let Some(budget) = services.get_mut(service) {
-            return change(budget);
+        if let Some(window) = services.get_mut(service) {
+            return change(window);
         }
-        let budget = services
+        let window = services
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.ratio, self.floor));
-        change(budget)
+            .or_insert_with(|| Window::new(self.window));
+        change(window)
     }
 
     /// Credits the budget of a service for a client's request.
     pub fn deposit(&self, service: &Service) {
-        self.update(service, Budget::deposit);
+        let now = self.clock.now();
+        self.update(service, |window| window.deposit(now));
     }
 
     /// Withdraws one retry, or returns false when none is left.
     pub fn withdraw(&self, service: &Service) -> bool {
-        self.update(service, Budget::withdraw)
+        let now = self.clock.now();
+        let floor = self.fleet.lock().allowance(self.floor, now);
+        self.update(service, |window| window.withdraw(self.ratio, floor, now))
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use kernel::catalogue::Configuration;
+use kernel::catalogue::{Configuration, Entry};
 use kernel::clock::Instant;
+use kernel::fleet::{self, Fleet};
 use kernel::name::Endpoint;
+use kernel::position::{Position, Reading};
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -23,10 +26,9 @@
 /// Number of reads of the endpoints' entries within the drain limit. Two reads must fit. The
 /// fraction leaves time for the reads themselves.
 const READS_PER_DRAIN: f64 = 2.35;
-/// Time between two reads of the hosts' addresses. A new host also contacts the others by itself.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
-/// Times between the first reads of the hosts' addresses. They are shorter than `HOSTS_INTERVAL`,
-/// because hosts that start together may be announced only after the first read.
+/// Times between the first reads of the hosts' announcements. They are shorter than
+/// [`fleet::READ_INTERVAL`], because hosts that start together may be announced only after the
+/// first read.
 const HOSTS_FIRST_INTERVALS: [Duration; 3] = [
     Duration::from_millis(600),
     Duration::from_millis(1_500),
@@ -41,10 +43,6 @@
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait between two calls while the store fails.
 const BACKOFF_LONGEST: Duration = Duration::from_millis(600);
-/// Shortest outage in which entries may have expired: the interval between two writes of an
-/// endpoint.
-const EXPIRY_OUTAGE: Duration = Duration::from_millis(1_200);
-
 /// Follows the topics of one store, one task for each topic.
 pub(crate) struct Follower {
     pub store: Arc<dyn Store>,
@@ -56,6 +54,13 @@
     pub apply_limit: Duration,
     /// Time within which requests to an endpoint must stop after it starts to drain.
     pub drain_limit: Duration,
+    /// Time between two writes of an endpoint's entry, which is the shortest outage in which
+    /// entries may have expired.
+    pub heartbeat: Duration,
+    /// The hosts that share the retry budget.
+    pub fleet: Arc<Mutex<Fleet>>,
+    /// Wakes the task that announces this host when the store may have lost its announcement.
+    pub restored: Notify,
     /// Wakes the task that follows configurations when another host has a newer one.
     pub peer_version: Arc<PeerVersion>,
 }
@@ -90,16 +95,16 @@
 /// Read position of one topic, and since when reads of it fail.
 struct Cursor {
     topic: Topic,
-    next: Option<u64>,
+    position: Position,
     failing_since: Option<Instant>,
     backoff: Duration,
 }
 
 impl Cursor {
-    const fn new(topic: Topic) -> Self {
+    fn new(topic: Topic) -> Self {
         Self {
             topic,
-            next: None,
+            position: Position::default(),
             failing_since: None,
             backoff: BACKOFF_FIRST,
         }
@@ -115,7 +120,7 @@
                 read = self.read(&mut cursor, self.apply_limit + CONFIGURATION_READ_SLACK) => read,
                 () = self.peer_version.wait_until_behind(&self.registry) => {
                     // The connection of the pending read may be broken. Start a new read.
-                    cursor.next = None;
+                    cursor.position.reset();
                     continue;
                 }
             };
@@ -151,18 +156,19 @@
     pub async fn follow_endpoints(self: Arc<Self>) {
         let mut cursor = Cursor::new(Topic::Endpoints);
         loop {
-            let full = cursor.next.is_none();
             let failing_since = cursor.failing_since;
-            if let Some((batch, _)) = self.read(&mut cursor, Duration::ZERO).await {
+            let read = self.read(&mut cursor, Duration::ZERO).await;
+            if let Some((batch, reading)) = read {
                 let now = self.clock.now();
-                if failing_since.is_some_and(|since| now.since(since) >= EXPIRY_OUTAGE) {
+                if failing_since.is_some_and(|since| now.since(since) >= self.heartbeat) {
                     self.registry
                         .with_directory(|directory| directory.store_recovered(now));
                 }
-                self.apply_endpoints(batch, full, now);
+                self.apply_endpoints(batch, reading, now);
             }
             self.drop_expired();
-            if cursor.failing_since.is_none() {
+            let discarded = cursor.position.next().is_none();
+            if cursor.failing_since.is_none() && !discarded {
                 self.wait_for_next_read().await;
             }
         }
@@ -197,31 +203,39 @@
         }
     }
 
-    fn apply_endpoints(&self, batch: Batch, full: bool, now: Instant) {
+    fn apply_endpoints(&self, batch: Batch, reading: Reading, now: Instant) {
         let mut entries = Vec::new();
         for record in batch.records {
             match record {
-                Record::Endpoint(entry) if full => entries.push(entry),
-                Record::Endpoint(entry) => {
-                    let (name, state) = (entry.name.clone(), entry.state);
-                    if self
-                        .registry
-                        .with_directory(|directory| directory.put(entry))
-                    {
-                        log::info!("event=endpoint endpoint={name} state={state:?}");
-                    }
+                Record::Endpoint(entry) if reading == Reading::Changes => {
+                    self.put_endpoint(entry, now);
                 }
+                Record::Endpoint(entry) => entries.push(entry),
                 Record::EndpointRemoved(name) => self.remove_endpoint(&name, now),
                 Record::Unreadable { key, reason } => log_skipped(Topic::Endpoints, &key, &reason),
                 _ => {}
             }
         }
-        if full {
-            log::info!("event=endpoints known={}", entries.len());
-            let replace = |directory: &mut kernel::catalogue::Directory| {
-                directory.replace(entries, now);
-            };
-            self.registry.with_directory(replace);
+        if reading == Reading::Changes {
+            return;
+        }
+        log::info!(
+            "event=endpoints known={} reading={reading:?}",
+            entries.len()
+        );
+        self.registry.with_directory(|directory| match reading {
+            Reading::Restored => directory.restore(entries, now),
+            _ => directory.replace(entries, now),
+        });
+    }
+
+    fn put_endpoint(&self, entry: Entry, now: Instant) {
+        let (name, state) = (entry.name.clone(), entry.state);
+        if self
+            .registry
+            .with_directory(|directory| directory.put(entry, now))
+        {
+            log::info!("event=endpoint endpoint={name} state={state:?}");
         }
     }
 
@@ -232,46 +246,78 @@
     }
 
     fn refresh_engines(&self) {
-        for service in self.placer.services() {
-            let entries = self.registry.ready(&service);
-            self.placer.set_engines(&service, &entries);
-        }
-        self.placer.assign_all();
+        self.placer.refresh_engines(&self.registry);
     }
 
     /// Announces this host and reads the announcements of the others. Never returns.
     pub async fn follow_hosts(self: Arc<Self>) {
-        while let Err(error) = self.announce().await {
-            log::warn!("event=not_announced error=\"{error}\"");
-            sleep(BACKOFF_LONGEST).await;
-        }
         let mut first = HOSTS_FIRST_INTERVALS.into_iter();
+        let mut position = Position::default();
         loop {
-            let newest = timeout(STORE_TIMEOUT, self.store.read_newest(Topic::Hosts)).await;
-            if let Ok(Ok(batch)) = newest {
-                for record in batch.records {
-                    if let Record::Host(host, address) = record {
-                        self.hosts.handle_announcement(&host, address);
-                    }
-                }
+            if self.fleet.lock().renewal_due(self.clock.now()) {
+                self.announce().await;
+            }
+            let listed = self.read_hosts(&mut position).await;
+            if listed == Some(false) {
+                log::warn!("event=announcement_lost host={}", self.hosts.own());
+                self.announce().await;
+            }
+            let mut interval = first.next().unwrap_or(fleet::READ_INTERVAL);
+            if self.fleet.lock().renewal_due(self.clock.now()) {
+                interval = interval.min(BACKOFF_LONGEST);
+            }
+            tokio::select! {
+                () = sleep(interval) => {}
+                () = self.restored.notified() => {}
             }
-            sleep(first.next().unwrap_or(HOSTS_INTERVAL)).await;
         }
     }
 
-    async fn announce(&self) -> Result<(), Error> {
-        let announce = self.store.announce(self.hosts.own(), self.hosts.address());
+    /// Reads the announcements; returns whether this host's own is among them, or `None` if the
+    /// read failed.
+    async fn read_hosts(&self, position: &mut Position) -> Option<bool> {
+        let sent_at = self.clock.now();
+        let newest = timeout(STORE_TIMEOUT, self.store.read_newest(Topic::Hosts)).await;
+        let batch = newest.ok()?.ok()?;
+        position.reset();
+        if position.advance(batch.era, batch.next) == Reading::Restored {
+            self.fleet.lock().record_restored();
+        }
+        let mut announcements = Vec::new();
+        for record in batch.records {
+            if let Record::Host(announcement, address) = record {
+                self.hosts.handle_announcement(&announcement.host, address);
+                announcements.push(announcement);
+            }
+        }
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        Some(fleet.record_read(&announcements, sent_at, now))
+    }
+
+    /// Writes this host's announcement or renews it. Until this succeeds, the host has no share of
+    /// the retry budget, and the other hosts may learn of it only from its datagrams.
+    async fn announce(&self) {
+        let announcement = self.fleet.lock().next_announcement();
+        let sent_at = self.clock.now();
+        let announce = self.store.announce(&announcement, self.hosts.address());
         let announced = timeout(STORE_TIMEOUT, announce).await;
-        announced.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())))
+        let announced =
+            announced.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
+        match announced {
+            Ok(()) => self.fleet.lock().record_renewed(sent_at, self.clock.now()),
+            Err(error) => log::warn!("event=not_announced error=\"{error}\""),
+        }
     }
 
     /// Reads the changes, or the newest record of each key if the position is unknown.
     ///
-    /// Returns the batch and whether it is a full read, or `None` after a failure.
-    async fn read(&self, cursor: &mut Cursor, wait: Duration) -> Option<(Batch, bool)> {
-        let full = cursor.next.is_none();
+    /// Returns the batch and how it must be applied, or `None` after a failure or if the store has
+    /// returned from an older copy.
+    async fn read(&self, cursor: &mut Cursor, wait: Duration) -> Option<(Batch, Reading)> {
+        let full = cursor.position.next().is_none();
         let call = async {
-            match cursor.next {
+            match cursor.position.next() {
                 None => self.store.read_newest(cursor.topic).await,
                 Some(from) => self.store.read_changes(cursor.topic, from, wait).await,
             }
@@ -286,16 +332,20 @@
         match read {
             Ok(batch) => {
                 observe::count_store_call(cursor.topic.as_str(), "read");
-                cursor.next = Some(batch.next);
                 cursor.backoff = BACKOFF_FIRST;
+                let reading = cursor.position.advance(batch.era, batch.next);
+                if reading == Reading::Discard {
+                    self.handle_restore(cursor.topic, batch.era);
+                    return None;
+                }
                 if cursor.failing_since.take().is_some() {
                     log::info!("event=store_regained topic={}", cursor.topic.as_str());
                 }
-                Some((batch, full))
+                Some((batch, reading))
             }
             Err(Error::Truncated) => {
                 log::info!("event=truncated topic={}", cursor.topic.as_str());
-                cursor.next = None;
+                cursor.position.reset();
                 None
             }
             Err(error) => {
@@ -313,6 +363,16 @@
     }
 }
 
+impl Follower {
+    /// Called by the first reader that sees another era of the store.
+    fn handle_restore(&self, topic: Topic, era: Option<u64>) {
+        let topic = topic.as_str();
+        observe::count_restore(topic);
+        log::warn!("event=store_restored topic={topic} era={era:?}");
+        self.restored.notify_one();
+    }
+}
+
 fn log_skipped(topic: Topic, key: &str, reason: &str) {
     log::warn!(
         "event=record_skipped topic={} key={key:?} reason=\"{reason}\"",
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,11 +1,12 @@
 //! Exchanges placements with the other hosts over UDP.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::clock::Instant;
+use kernel::catalogue::Identity;
+use kernel::contact::{Contacts, Heard};
+use kernel::fleet::Fleet;
 use kernel::name::Host;
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
@@ -15,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::follow::PeerVersion;
+use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::registry::Registry;
 
@@ -22,12 +24,6 @@
 const BATCH_WINDOW: Duration = Duration::from_millis(2);
 /// Time between two snapshots, which repair the effects of lost datagrams.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
-/// Silence after which the placements of a host are dropped. By then, three snapshots in a row are
-/// missing.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Silence after which nothing is sent to a host until it sends a datagram or is announced with
-/// another address.
-const PEER_EXPIRY: Duration = Duration::from_secs(30);
 /// Maximum number of items of one datagram, so that it fits into one packet.
 const MAX_ITEMS: usize = 50;
 /// Largest datagram that is read, in bytes.
@@ -36,12 +32,6 @@
 /// secret. The tag detects datagrams that were damaged, but not forged ones.
 const TAG_KEY: &[u8] = b"filbertstage";
 
-struct Peer {
-    address: SocketAddr,
-    holder: Option<u64>,
-    last_seen: Instant,
-}
-
 /// The other hosts and when each of them last sent a datagram.
 pub struct Hosts {
     own: Host,
@@ -50,31 +40,34 @@
     clock: Clock,
     registry: Arc<Registry>,
     placer: Arc<Placer>,
-    peers: Mutex<HashMap<Host, Peer>>,
+    notices: Arc<Notices>,
+    fleet: Arc<Mutex<Fleet>>,
+    contacts: Mutex<Contacts>,
     peer_version: Arc<PeerVersion>,
 }
 
 impl Hosts {
-    /// Creates an instance that knows no other hosts yet. Their configuration versions are recorded
-    /// in `peer_version`.
+    /// Creates an instance that knows no other hosts yet. Other hosts reach this one at `address`.
+    /// What they report is recorded in `notices`, `fleet` and `peer_version`.
     #[must_use]
     pub fn new(
         own: Host,
         holder: u64,
         address: SocketAddr,
-        clock: Clock,
-        registry: Arc<Registry>,
-        placer: Arc<Placer>,
+        notices: Arc<Notices>,
+        fleet: Arc<Mutex<Fleet>>,
         peer_version: Arc<PeerVersion>,
     ) -> Self {
         Self {
             own,
             holder,
             address,
-            clock,
-            registry,
-            placer,
-            peers: Mutex::default(),
+            clock: notices.clock,
+            registry: Arc::clone(&notices.registry),
+            placer: Arc::clone(&notices.placer),
+            notices,
+            fleet,
+            contacts: Mutex::default(),
             peer_version,
         }
     }
@@ -97,16 +90,8 @@
             return;
         }
         let now = self.clock.now();
-        let mut peers = self.peers.lock();
-        let known = peers.get(host).is_some_and(|peer| peer.address == address);
-        if !known {
+        if self.contacts.lock().announce(host, address, now) {
             log::info!("event=host_announced host={host} address={address}");
-            let peer = Peer {
-                address,
-                holder: None,
-                last_seen: now,
-            };
-            peers.insert(host.clone(), peer);
         }
     }
 
@@ -137,7 +122,8 @@
                 self.drop_silent_peers();
                 self.placer.drop_expired();
                 self.placer.take_updates();
-                let placements = self.placer.placements();
+                let mut placements = self.placer.placements();
+                placements.push(Item::Counted(self.fleet.lock().digest(self.clock.now())));
                 let frames =
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
                 self.send_items(&socket, snapshot, Scope::Snapshot { frames }, placements)
@@ -151,16 +137,16 @@
         }
     }
 
-    /// Sends items to all active hosts in as many datagrams as needed. `snapshot` is the number of
+    /// Sends items to the other hosts in as many datagrams as needed. `snapshot` is the number of
     /// the last snapshot.
     async fn send_items(&self, socket: &UdpSocket, snapshot: u32, scope: Scope, items: Vec<Item>) {
         let now = self.clock.now();
-        let addresses: Vec<_> = {
-            let peers = self.peers.lock();
-            let active = peers
-                .values()
-                .filter(|peer| now.since(peer.last_seen) < PEER_EXPIRY);
-            active.map(|peer| peer.address).collect()
+        let addresses = {
+            let contacts = self.contacts.lock();
+            match scope {
+                Scope::Updates => contacts.update_targets(now).collect(),
+                Scope::Snapshot { .. } => contacts.snapshot_targets(snapshot, now),
+            }
         };
         if addresses.is_empty() {
             return;
@@ -183,19 +169,11 @@
         }
     }
 
-    /// Drops the placements of hosts that have been silent for longer than [`PEER_TIMEOUT`].
+    /// Drops the placements of hosts that have become silent.
     fn drop_silent_peers(&self) {
-        let now = self.clock.now();
-        let mut gone = Vec::new();
-        for (host, peer) in self.peers.lock().iter_mut() {
-            if now.since(peer.last_seen) > PEER_TIMEOUT
-                && let Some(holder) = peer.holder.take()
-            {
-                log::warn!("event=host_lost host={host}");
-                gone.push(holder);
-            }
-        }
-        for holder in gone {
+        let silent = self.contacts.lock().take_silent(self.clock.now());
+        for (host, holder) in silent {
+            log::warn!("event=host_lost host={host}");
             self.placer.drop_holder(holder);
         }
     }
@@ -225,24 +203,23 @@
         }
         let now = self.clock.now();
         let host = Host::from(frame.host.as_str());
-        let previous = {
-            let mut peers = self.peers.lock();
-            let peer = Peer {
-                address: from,
-                holder: Some(frame.holder),
-                last_seen: now,
-            };
-            peers
-                .insert(host.clone(), peer)
-                .and_then(|peer| peer.holder)
-        };
-        if previous != Some(frame.holder) {
+        let contacts = &self.contacts;
+        let heard = contacts.lock().hear(&host, frame.holder, from, now);
+        if heard != Heard::Known {
             log::info!("event=host_heard host={host} address={from}");
-            if let Some(previous) = previous {
-                self.placer.drop_holder(previous);
-            }
+        }
+        if let Heard::Restarted(previous) = heard {
+            self.placer.drop_holder(previous);
         }
         self.peer_version.raise(frame.version);
+        self.fleet.lock().record_heard(&host, frame.holder, now);
+        for item in &frame.items {
+            match item {
+                Item::Leaving(identity) => self.notices.apply_forwarded(Identity(*identity)),
+                Item::Counted(digest) => self.fleet.lock().record_counted(&host, *digest, now),
+                Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
+            }
+        }
         self.placer.apply_frame(frame);
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod headers;
 mod hosts;
+mod notice;
 mod observe;
 pub mod pipeline;
 mod placer;
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -43,6 +43,16 @@
     metrics::counter!("filbertstage_claims_lost_total").increment(1);
 }
 
+/// Counts a response with which an endpoint asked for no requests for a while.
+pub(crate) fn count_backoff() {
+    metrics::counter!("filbertstage_backoffs_total").increment(1);
+}
+
+/// Counts a return of the store from an older copy, as seen by the reader of a topic.
+pub(crate) fn count_restore(topic: &'static str) {
+    metrics::counter!("filbertstage_store_restores_total", "topic" => topic).increment(1);
+}
+
 /// Counts a failed attempt at an endpoint by its outcome.
 pub(crate) fn count_failed_send(outcome: &'static str) {
     metrics::counter!("filbertstage_failed_sends_total", "outcome" => outcome).increment(1);
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kernel::balance::Balancer;
-use kernel::catalogue::{Denied, Kind, Route};
+use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service, Workspace};
 use parking_lot::Mutex;
@@ -20,6 +20,7 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::headers::{encoded_len, end_to_end, error_response};
+use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::registry::Registry;
 use crate::transport::Dialer;
@@ -35,7 +36,9 @@
     /// Places streams on engines.
     pub placer: Arc<Placer>,
     /// Balances calls over the endpoints of plain services.
-    pub balancer: Mutex<Balancer>,
+    pub balancer: Arc<Mutex<Balancer>>,
+    /// Applies what endpoints announce about themselves.
+    pub notices: Arc<Notices>,
     /// Retry budgets of the services.
     pub budgets: Budgets,
     /// Connections to endpoints.
@@ -52,6 +55,14 @@
     pub rng: Mutex<SmallRng>,
 }
 
+impl Pipeline {
+    /// Applies what the endpoint announces about itself in the head of a response.
+    pub fn handle_notice(&self, entry: &Entry, head: &response::Parts) {
+        let notice = self.dialect.parse_notice(head.status, &head.headers);
+        self.notices.apply(entry, notice);
+    }
+}
+
 /// A request that was read, routed and admitted.
 pub(crate) struct Accepted {
     pub method: Method,
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -16,11 +16,15 @@
 
 use crate::clock::Clock;
 use crate::observe;
+use crate::registry::Registry;
 
 /// Time within which another host's claim on the same engines arrives: its batch window, the
 /// network latency between failure domains of a region, and one turn of a busy event loop.
 const CLAIM_WINDOW: Duration = Duration::from_millis(8);
 
+/// Time for which snapshots repeat that an endpoint leaves. Four snapshots may be lost in a row.
+const LEAVING_REPEATED: Duration = Duration::from_secs(2);
+
 /// The pool of one service and the channels to its waiting requests.
 struct Queue {
     pool: Pool,
@@ -34,6 +38,8 @@
     holder: u64,
     queues: Mutex<HashMap<Service, Queue>>,
     updates: Mutex<Vec<Item>>,
+    /// Endpoints that announced to this host that they leave, and until when snapshots repeat it.
+    leaving: Mutex<Vec<(Identity, Instant)>>,
     /// By holder: number of the arriving snapshot, and number of its frames that have arrived.
     snapshots: Mutex<HashMap<u64, (u32, u32)>>,
     /// Wakes the task that sends updates to the other hosts.
@@ -96,6 +102,7 @@
             holder,
             queues: Mutex::default(),
             updates: Mutex::default(),
+            leaving: Mutex::default(),
             snapshots: Mutex::default(),
             updated: Notify::new(),
         }
@@ -237,6 +244,38 @@
         }
     }
 
+    /// Replaces the engines of all services by the registered ones, and starts waiting requests
+    /// that now have room.
+    pub fn refresh_engines(&self, registry: &Registry) {
+        for service in self.services() {
+            self.set_engines(&service, &registry.ready(&service));
+        }
+        self.assign_all();
+    }
+
+    /// Tells the other hosts that an endpoint has announced that it leaves.
+    pub fn announce_leaving(&self, identity: Identity) {
+        let until = self.clock.now() + LEAVING_REPEATED;
+        self.leaving.lock().push((identity, until));
+        self.push_update(Item::Leaving(identity.0));
+    }
+
+    /// Records that an engine wants no requests for `time`; returns whether the engine is known.
+    pub fn back_off(&self, service: &Service, engine: Identity, time: Duration) -> bool {
+        let now = self.clock.now();
+        let mut queues = self.queues.lock();
+        let queue = queues.get_mut(service);
+        queue.is_some_and(|queue| queue.pool.back_off(engine, time, now))
+    }
+
+    /// Returns the rest of the time for which an engine wants no requests, if any.
+    #[must_use]
+    pub fn backoff(&self, service: &Service, engine: Identity) -> Option<Duration> {
+        let now = self.clock.now();
+        let queues = self.queues.lock();
+        queues.get(service)?.pool.backoff(engine, now)
+    }
+
     /// Records the result of a request for outlier detection.
     pub fn record_observation(
         &self,
@@ -284,16 +323,22 @@
         std::mem::take(&mut *self.updates.lock())
     }
 
-    /// Returns all placements of this host.
+    /// Returns all placements of this host, and the endpoints that recently told it that they
+    /// leave.
     #[must_use]
     pub fn placements(&self) -> Vec<Item> {
         let now = self.clock.now();
+        let mut leaving = self.leaving.lock();
+        leaving.retain(|(_, until)| *until > now);
+        let leaving = leaving
+            .iter()
+            .map(|(identity, _)| Item::Leaving(identity.0));
         let queues = self.queues.lock();
         let pools = queues.values().map(|queue| &queue.pool);
-        pools
+        let loads = pools
             .flat_map(Pool::own_loads)
-            .map(|(engine, id, load)| Item::Put(to_part(id, engine, load, now)))
-            .collect()
+            .map(|(engine, id, load)| Item::Put(to_part(id, engine, load, now)));
+        leaving.chain(loads).collect()
     }
 
     /// Applies a frame of another host.
@@ -351,6 +396,8 @@
             }
             Item::Prefilled(sequence) => pool.finish_prefill(id(*sequence), now),
             Item::Done(sequence) => pool.release(id(*sequence)),
+            // Not placements.
+            Item::Leaving(_) | Item::Counted(_) => {}
         }
     }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -64,8 +64,9 @@
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
-        let Some(entry) = pick_endpoint(pipeline, accepted, &attempts) else {
-            break GiveUp::Exhausted;
+        let entry = match pick_endpoint(pipeline, accepted, &attempts) {
+            Ok(entry) => entry,
+            Err(give_up) => break give_up,
         };
         if !attempts.try_start(&pipeline.budgets, &accepted.service) {
             break GiveUp::Exhausted;
@@ -94,12 +95,19 @@
     }
 }
 
-fn pick_endpoint(pipeline: &Pipeline, accepted: &Accepted, attempts: &Attempts) -> Option<Entry> {
+fn pick_endpoint(
+    pipeline: &Pipeline,
+    accepted: &Accepted,
+    attempts: &Attempts,
+) -> Result<Entry, GiveUp> {
     let ready = pipeline.registry.ready(&accepted.service);
     let balancer = pipeline.balancer.lock();
     let now = pipeline.clock.now();
     let picked = balancer.pick(ready.iter(), attempts.excluded(), &pipeline.domain, now);
-    picked.cloned()
+    picked.cloned().ok_or_else(|| {
+        let backoff = balancer.shortest_backoff(ready.iter(), now);
+        backoff.map_or(GiveUp::Exhausted, GiveUp::Refused)
+    })
 }
 
 async fn send(
@@ -127,6 +135,7 @@
         let exchange = pipeline.dialer.send(entry.address, request).await?;
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
+        pipeline.handle_notice(entry, head);
         let class = pipeline
             .dialect
             .classify_response(id, head.status, &head.headers);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kernel::catalogue::{Catalogue, Configuration, Directory, Entry, Identity};
 use kernel::clock::Instant;
@@ -11,13 +12,23 @@
 /// The configuration and the endpoints.
 ///
 /// At most one of the two locks is held at a time, and none across an `await`.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     catalogue: Mutex<Catalogue>,
     directory: Mutex<Directory>,
 }
 
 impl Registry {
+    /// Creates a registry without a configuration. The store removes the entry of an endpoint that
+    /// has been silent for `registration_ttl`.
+    #[must_use]
+    pub fn new(registration_ttl: Duration) -> Self {
+        Self {
+            catalogue: Mutex::default(),
+            directory: Mutex::new(Directory::new(registration_ttl)),
+        }
+    }
+
     /// Returns the configuration in force; `None` before the first one.
     #[must_use]
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -50,8 +61,7 @@
     #[must_use]
     pub fn endpoint(&self, service: &Service, identity: Identity) -> Option<Entry> {
         let directory = self.directory.lock();
-        let mut ready = directory.ready(service);
-        ready.find(|entry| entry.identity() == identity).cloned()
+        directory.find_ready(service, identity).cloned()
     }
 
     /// Returns the identity of the endpoint at `address`.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,11 +8,13 @@
 
 use http::{Response, StatusCode};
 use kernel::balance::Balancer;
+use kernel::fleet::Fleet;
 use kernel::name::{Domain, Host};
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -23,12 +25,13 @@
 use crate::clock::Clock;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::Hosts;
+use crate::notice::Notices;
 use crate::observe;
 use crate::pipeline::Pipeline;
 use crate::placer::Placer;
 use crate::registry::Registry;
 use crate::server::{Server, Stage};
-use crate::settings::Settings;
+use crate::settings::{Listen, Settings};
 use crate::transport::Dialer;
 
 /// Interval at which waiting streams are assigned again, because engines may become free by the
@@ -77,40 +80,48 @@
         dependencies: Dependencies,
         dialer: Dialer,
     ) -> io::Result<Self> {
-        let clients = TcpListener::bind(settings.listen.clients).await?;
+        let Listeners {
+            clients,
+            readiness,
+            socket,
+            metrics,
+        } = Listeners::bind(&settings.listen).await?;
         let address = clients.local_addr()?;
-        let readiness = TcpListener::bind(settings.listen.readiness).await?;
-        let socket = Arc::new(UdpSocket::bind(settings.listen.hosts).await?);
-        let metrics = match settings.listen.metrics {
-            Some(address) => Some(TcpListener::bind(address).await?),
-            None => None,
-        };
-        let bound_metrics_address = match &metrics {
-            Some(listener) => Some(listener.local_addr()?),
-            None => None,
-        };
+        let bound_metrics_address = metrics.as_ref().map(TcpListener::local_addr).transpose()?;
         telemetry::metrics::install();
         let clock = Clock::default();
         let mut rng = SmallRng::from_os_rng();
         let holder = rng.next_u64();
         let domain = Domain::from(settings.domain.as_str());
-        let registry = Arc::new(Registry::default());
+        let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
+        let balancer = Arc::new(Mutex::new(Balancer::default()));
+        let notices = Notices::new(&registry, &placer, &balancer, clock);
+        let notices = Arc::new(notices);
+        let own = Host::from(settings.host.as_str());
+        let fleet = Fleet::new(
+            own.clone(),
+            holder,
+            settings.retry.window(),
+            settings.start(),
+            clock.now(),
+        );
+        let fleet = Arc::new(Mutex::new(fleet));
         let peer_version = Arc::new(PeerVersion::default());
         let hosts = Arc::new(Hosts::new(
-            Host::from(settings.host.as_str()),
+            own,
             holder,
             socket.local_addr()?,
-            clock,
-            Arc::clone(&registry),
-            Arc::clone(&placer),
+            Arc::clone(&notices),
+            Arc::clone(&fleet),
             Arc::clone(&peer_version),
         ));
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
-            balancer: Mutex::new(Balancer::default()),
-            budgets: Budgets::new(&settings.retry),
+            balancer,
+            notices,
+            budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
             dialect: dependencies.dialect,
             memory: dependencies.memory,
@@ -126,6 +137,9 @@
             clock,
             apply_limit: Duration::from_millis(settings.times.apply_ms),
             drain_limit: Duration::from_millis(settings.times.drain_ms),
+            heartbeat: settings.times.heartbeat(),
+            fleet,
+            restored: Notify::new(),
             peer_version,
         });
         let server = Arc::new(Server::new(Arc::clone(&pipeline), clock));
@@ -208,6 +222,28 @@
     }
 }
 
+/// The bound sockets of a host.
+struct Listeners {
+    clients: TcpListener,
+    readiness: TcpListener,
+    socket: Arc<UdpSocket>,
+    metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    async fn bind(listen: &Listen) -> io::Result<Self> {
+        Ok(Self {
+            clients: TcpListener::bind(listen.clients).await?,
+            readiness: TcpListener::bind(listen.readiness).await?,
+            socket: Arc::new(UdpSocket::bind(listen.hosts).await?),
+            metrics: match listen.metrics {
+                Some(address) => Some(TcpListener::bind(address).await?),
+                None => None,
+            },
+        })
+    }
+}
+
 async fn assign_periodically(placer: Arc<Placer>) {
     loop {
         sleep(ASSIGN_INTERVAL).await;
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -9,7 +9,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::adapter::{Helper, Memory};
+use crate::adapter::{Error, Helper, Memory, Reply};
+use crate::notice::Notices;
 use crate::observe;
 use crate::pipeline::Pipeline;
 use crate::placer::Placement;
@@ -32,11 +33,13 @@
 }
 
 impl Reservation {
-    /// Reserves or renews; returns whether the engine confirmed it in time.
-    async fn reserve(&self, memory: &dyn Memory) -> bool {
-        let request = memory.reserve(&self.entry, &self.ticket, self.tokens, RESERVATION_TTL);
-        let outcome = timeout(ENGINE_TIMEOUT, request).await;
-        let reserved = matches!(outcome, Ok(Ok(())));
+    /// Reserves or renews for `ttl`; returns whether the engine confirmed it in time.
+    async fn reserve(&self, commands: &Commands, ttl: Duration) -> bool {
+        let request = commands
+            .memory
+            .reserve(&self.entry, &self.ticket, self.tokens, ttl);
+        let outcome = commands.run(&self.entry, request).await;
+        let reserved = outcome.is_ok();
         observe::count_reservation(if reserved { "made" } else { "refused" });
         if !reserved {
             log::info!(
@@ -49,12 +52,15 @@
         reserved
     }
 
-    async fn release(&self, memory: &dyn Memory) {
+    async fn release(&self, commands: &Commands) {
         for _ in 0..MAX_RELEASE_ATTEMPTS {
-            let request = memory.release(&self.entry, &self.ticket);
-            if matches!(timeout(ENGINE_TIMEOUT, request).await, Ok(Ok(()))) {
+            let request = commands.memory.release(&self.entry, &self.ticket);
+            if commands.run(&self.entry, request).await.is_ok() {
                 return;
             }
+            if commands.backoff(&self.entry).is_some() {
+                break;
+            }
         }
         observe::count_reservation("not_released");
         log::warn!(
@@ -65,11 +71,34 @@
     }
 }
 
+/// Sends commands to engines and applies what the engines announce in their replies.
+#[derive(Clone)]
+struct Commands {
+    memory: Arc<dyn Memory>,
+    notices: Arc<Notices>,
+}
+
+impl Commands {
+    async fn run(&self, engine: &Entry, command: impl Future<Output = Reply>) -> Result<(), Error> {
+        let Ok(reply) = timeout(ENGINE_TIMEOUT, command).await else {
+            return Err(Error::Uncertain("no answer in time".to_owned()));
+        };
+        self.notices.apply(engine, reply.notice);
+        reply.result
+    }
+
+    /// Returns the rest of the time for which an engine wants no requests, if any.
+    fn backoff(&self, engine: &Entry) -> Option<Duration> {
+        let placer = &self.notices.placer;
+        placer.backoff(&engine.service, engine.identity())
+    }
+}
+
 /// The reservations of one attempt. They are renewed until this is dropped, then released.
 pub(crate) struct Reservations {
     renewals: Vec<AbortHandle>,
     requested: Vec<Reservation>,
-    memory: Arc<dyn Memory>,
+    commands: Commands,
 }
 
 impl Drop for Reservations {
@@ -79,14 +108,12 @@
         }
         let reservations = std::mem::take(&mut self.requested);
         if !reservations.is_empty() {
-            let memory = Arc::clone(&self.memory);
+            let commands = self.commands.clone();
             tokio::spawn(async move {
-                join_all(
-                    reservations
-                        .iter()
-                        .map(|reservation| reservation.release(&*memory)),
-                )
-                .await;
+                let releases = reservations
+                    .iter()
+                    .map(|reservation| reservation.release(&commands));
+                join_all(releases).await;
             });
         }
     }
@@ -106,10 +133,14 @@
     service: &Service,
     placement: &Placement,
 ) -> Result<(Reservations, Vec<Helper>), Identity> {
+    let commands = Commands {
+        memory: Arc::clone(&pipeline.memory),
+        notices: Arc::clone(&pipeline.notices),
+    };
     let mut reservations = Reservations {
         renewals: Vec::new(),
         requested: Vec::new(),
-        memory: Arc::clone(&pipeline.memory),
+        commands: commands.clone(),
     };
     let mut helpers = Vec::with_capacity(placement.plan.helpers.len());
     for (index, part) in placement.plan.helpers.iter().enumerate() {
@@ -128,10 +159,10 @@
             };
             // Recorded before the request is sent, so that it is released however this ends.
             reservations.requested.push(reservation.clone());
-            if !reservation.reserve(&*pipeline.memory).await {
+            if !reservation.reserve(&commands, RESERVATION_TTL).await {
                 return Err(part.engine);
             }
-            let task = tokio::spawn(renew(Arc::clone(&pipeline.memory), reservation));
+            let task = tokio::spawn(renew(commands.clone(), reservation));
             reservations.renewals.push(task.abort_handle());
         }
     }
@@ -140,9 +171,15 @@
 
 /// Renews one reservation until its task is aborted. Each reservation has a task of its own, so
 /// that an unresponsive engine does not delay the others.
-async fn renew(memory: Arc<dyn Memory>, reservation: Reservation) {
+///
+/// An engine that wants no requests for a while gets a single renewal that lasts that long.
+async fn renew(commands: Commands, reservation: Reservation) {
     loop {
         tokio::time::sleep(RENEWAL_INTERVAL).await;
-        reservation.reserve(&*memory).await;
+        let backoff = commands.backoff(&reservation.entry).unwrap_or_default();
+        reservation
+            .reserve(&commands, RESERVATION_TTL + backoff)
+            .await;
+        tokio::time::sleep(backoff).await;
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use kernel::fleet::Start;
 use serde::{Deserialize, Serialize};
 use settings::{Document, Problems};
 
@@ -14,6 +15,8 @@
     pub host: String,
     /// Failure domain of the host.
     pub domain: String,
+    /// Whether the whole fleet starts for the first time, so that no host has run before.
+    pub first_start: bool,
     /// Addresses to listen on.
     pub listen: Listen,
     /// How to reach the platform.
@@ -54,11 +57,10 @@
 pub struct Retry {
     /// Retries that are allowed for each first attempt.
     pub ratio: f64,
-    /// Initial and maximum number of retries in a service's budget. In any period, at most this
-    /// many retries are allowed in addition to `ratio` for each first attempt.
+    /// Retries that are allowed within the window in addition to `ratio` for each first attempt.
     pub floor: f64,
-    /// Number of hosts that share the floor.
-    pub hosts: u32,
+    /// Milliseconds of the sliding window in which retries and first attempts are counted.
+    pub window_ms: u64,
 }
 
 /// Time limits.
@@ -71,6 +73,26 @@
     pub apply_ms: u64,
     /// Milliseconds within which requests to an endpoint must stop after it starts to drain.
     pub drain_ms: u64,
+    /// Milliseconds between two writes of an endpoint's entry in the store, which removes the entry
+    /// after [`MISSED_HEARTBEATS`] of them.
+    pub heartbeat_ms: u64,
+}
+
+/// Number of missed writes after which the store removes an endpoint's entry.
+const MISSED_HEARTBEATS: u32 = 3;
+
+impl Times {
+    /// Returns the time between two writes of an endpoint's entry.
+    #[must_use]
+    pub const fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
+    /// Returns the time after which the store removes the entry of a silent endpoint.
+    #[must_use]
+    pub const fn registration_ttl(&self) -> Duration {
+        self.heartbeat().saturating_mul(MISSED_HEARTBEATS)
+    }
 }
 
 /// Which log messages are written.
@@ -106,17 +128,26 @@
         Self {
             ratio: 0.2,
             floor: 100.0,
-            hosts: 8,
+            window_ms: 10_000,
         }
     }
 }
 
+impl Retry {
+    /// Returns the length of the sliding window.
+    #[must_use]
+    pub const fn window(&self) -> Duration {
+        Duration::from_millis(self.window_ms)
+    }
+}
+
 impl Default for Times {
     fn default() -> Self {
         Self {
             grace_ms: 8_000,
             apply_ms: 2_000,
             drain_ms: 2_000,
+            heartbeat_ms: 1_200,
         }
     }
 }
@@ -155,9 +186,9 @@
             "missing: give the address of the platform's store",
         );
         require(
-            tree.retry.hosts > 0,
-            "retry.hosts",
-            "zero: give the number of hosts",
+            tree.retry.window_ms > 0,
+            "retry.window_ms",
+            "zero: give the length of the window in milliseconds",
         );
         if problems.is_empty() {
             return Ok(tree);
@@ -173,6 +204,7 @@
         Self {
             host: host.to_owned(),
             domain: domain.to_owned(),
+            first_start: true,
             listen: Listen {
                 clients: free,
                 readiness: free,
@@ -184,6 +216,16 @@
         }
     }
 
+    /// Returns how the host starts.
+    #[must_use]
+    pub const fn start(&self) -> Start {
+        if self.first_start {
+            Start::First
+        } else {
+            Start::Later
+        }
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     #[must_use]
     pub const fn grace(&self) -> Duration {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -251,6 +251,7 @@
     ) -> Result<Upstream, Option<(response::Parts, Bytes)>> {
         let id = self.accepted.metadata.id.as_deref();
         let head = &exchange.head;
+        self.pipeline.handle_notice(&engine, head);
         let dialect = &self.pipeline.dialect;
         let class = dialect.classify_response(id, head.status, &head.headers);
         match class {
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -45,6 +45,10 @@
     Prefilled(u32),
     /// The request with this sequence number has ended.
     Done(u32),
+    /// The sender has learnt from the endpoint with this identity that it leaves.
+    Leaving(u64),
+    /// Digest of the hosts that the sender counts.
+    Counted(u64),
 }
 
 /// The part of a request that is placed on one engine. Times are relative to the time of sending.
