Let the hosts of a failure domain read the store in turn

Change: a host that reads reports it to the others of its domain, with the position, the era and short batches of records; the others then need not read. Nobody is elected: hosts rank themselves by rendezvous order among those that they hear, and a lower rank waits a little longer before it reads by itself (kernel::turn). A report confirms a position, moves past it, or shows a gap, after which the host reads. The first two hosts of a domain poll for configurations. Each host still bounds the age of its state by itself.

Result: tests/turn.rs: in 20 intervals 20 reads for 2, 16 and 80 hosts; every change known within the limit when the reader dies each time, with refused, muted and killed hosts and restored stores.

--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::name::Host;
+use crate::name::{Domain, Host};
 
 /// Silence after which the placements of a host are dropped. By then, three snapshots in a row are
 /// missing.
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug)]
 struct Contact {
     address: SocketAddr,
+    /// Failure domain, as announced; `None` before the announcement was read.
+    domain: Option<Domain>,
     /// Incarnation of the host; `None` before its first datagram and after a timeout.
     holder: Option<u64>,
     last_seen: Instant,
@@ -44,13 +46,21 @@
 impl Contacts {
     /// Adds an announced host, or replaces a known one whose address has changed; returns whether
     /// it did.
-    pub fn announce(&mut self, host: &Host, address: SocketAddr, now: Instant) -> bool {
-        let known = self.hosts.get(host);
-        if known.is_some_and(|contact| contact.address == address) {
+    pub fn announce(
+        &mut self,
+        host: &Host,
+        address: SocketAddr,
+        domain: &Domain,
+        now: Instant,
+    ) -> bool {
+        let known = self.hosts.get_mut(host);
+        if let Some(contact) = known.filter(|contact| contact.address == address) {
+            contact.domain = Some(domain.clone());
             return false;
         }
         let contact = Contact {
             address,
+            domain: Some(domain.clone()),
             holder: None,
             last_seen: now,
         };
@@ -60,8 +70,13 @@
 
     /// Records a datagram of the incarnation `holder` of a host.
     pub fn hear(&mut self, host: &Host, holder: u64, address: SocketAddr, now: Instant) -> Heard {
+        let domain = self
+            .hosts
+            .get(host)
+            .and_then(|contact| contact.domain.clone());
         let contact = Contact {
             address,
+            domain,
             holder: Some(holder),
             last_seen: now,
         };
@@ -84,6 +99,20 @@
             .collect()
     }
 
+    /// Returns the hosts of `domain` that were heard recently, with their addresses.
+    pub fn live_in(
+        &self,
+        domain: &Domain,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Host, SocketAddr)> {
+        let live = self.hosts.iter().filter(move |(_, contact)| {
+            contact.holder.is_some()
+                && contact.domain.as_ref() == Some(domain)
+                && now.since(contact.last_seen) <= TIMEOUT
+        });
+        live.map(|(host, contact)| (host, contact.address))
+    }
+
     /// Returns the addresses to which an update is sent.
     pub fn update_targets(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let contacts = self.hosts.values();
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod routing;
 pub mod schedule;
 pub mod share;
+pub mod turn;
 
 /// Types that most modules import.
 pub mod prelude {
--- a/crates/kernel/src/position.rs
+++ b/crates/kernel/src/position.rs
@@ -18,6 +18,18 @@
     Discard,
 }
 
+/// How a read by another host relates to this position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// The records from the given index on are new, and none before them are missing.
+    Current(usize),
+    /// The read is older than this position and says nothing new.
+    Outdated,
+    /// Records between this position and the read are missing, or the read is of another era. The
+    /// store must be read.
+    Gap,
+}
+
 /// Position of the next read, and the era to which it belongs.
 ///
 /// At most one read may be in progress at a time.
@@ -62,4 +74,30 @@
             (true, true) => Reading::Restored,
         }
     }
+
+    /// Compares this position with a read by another host, which began at `from` and ended at
+    /// `next`.
+    #[must_use]
+    pub fn compare(&self, era: Option<u64>, from: u64, next: u64) -> Report {
+        let Some(own) = self.next else {
+            return Report::Gap;
+        };
+        match (self.era, era) {
+            (Some(known), Some(era)) if era < known => return Report::Outdated,
+            (known, era) if known != era => return Report::Gap,
+            _ => {}
+        }
+        if next < own {
+            return Report::Outdated;
+        }
+        if from > own {
+            return Report::Gap;
+        }
+        Report::Current(usize::try_from(own - from).unwrap_or(usize::MAX))
+    }
+
+    /// Moves past the records of a read by another host that ended at `next`.
+    pub const fn move_to(&mut self, next: u64) {
+        self.next = Some(next);
+    }
 }
--- a/crates/kernel/tests/contact.rs
+++ b/crates/kernel/tests/contact.rs
@@ -13,6 +13,10 @@
     ([10, 0, 0, index], 7_340).into()
 }
 
+fn domain() -> Domain {
+    Domain::from("cannock")
+}
+
 fn name(index: u8) -> Host {
     Host::from(format!("edge-{index}"))
 }
@@ -26,8 +30,8 @@
 fn two_hosts_hear_each_other_again_after_a_partition(#[case] seconds: u64) {
     let mut hosts = [Contacts::default(), Contacts::default()];
     let mut now = Instant::from_millis(1_000_000);
-    hosts[0].announce(&name(1), address(1), now);
-    hosts[1].announce(&name(0), address(0), now);
+    hosts[0].announce(&name(1), address(1), &domain(), now);
+    hosts[1].announce(&name(0), address(0), &domain(), now);
     let healed_at = now + Duration::from_secs(seconds);
     let mut heard = [now; 2];
     let mut snapshot = 0;
@@ -54,7 +58,7 @@
 fn a_host_that_is_gone_gets_few_datagrams() {
     let mut contacts = Contacts::default();
     let mut now = Instant::from_millis(1_000_000);
-    contacts.announce(&name(1), address(1), now);
+    contacts.announce(&name(1), address(1), &domain(), now);
     now = now + Duration::from_mins(1);
     assert_eq!(contacts.update_targets(now).count(), 0);
     let sent: usize = (1..=120)
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, StatusCode};
 use kernel::catalogue::{Configuration, Entry};
 use kernel::fleet::Announcement;
-use kernel::name::{Endpoint, Workspace};
+use kernel::name::{Domain, Endpoint, Workspace};
 use quick_error::quick_error;
 
 quick_error! {
@@ -134,6 +134,15 @@
     }
 }
 
+/// Where a host of this system runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Location {
+    /// Address at which other hosts reach the host.
+    pub address: SocketAddr,
+    /// Failure domain of the host.
+    pub domain: Domain,
+}
+
 /// A decoded record of a topic.
 #[derive(Debug)]
 pub enum Record {
@@ -143,8 +152,8 @@
     Endpoint(Entry),
     /// The removal of an endpoint's entry.
     EndpointRemoved(Endpoint),
-    /// A host of this system and its address for other hosts.
-    Host(Announcement, SocketAddr),
+    /// A host of this system and where it runs.
+    Host(Announcement, Location),
     /// A record that cannot be decoded.
     Unreadable {
         /// The record's key.
@@ -180,8 +189,8 @@
     /// Fails with [`Error::Truncated`] if the store no longer keeps that position.
     async fn read_changes(&self, topic: Topic, from: u64, wait: Duration) -> Result<Batch, Error>;
 
-    /// Publishes this host's announcement and the address at which other hosts reach it.
-    async fn announce(&self, announcement: &Announcement, address: SocketAddr)
+    /// Publishes this host's announcement and where it runs.
+    async fn announce(&self, announcement: &Announcement, location: &Location)
     -> Result<(), Error>;
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -8,10 +8,12 @@
 use kernel::clock::Instant;
 use kernel::fleet::{self, Fleet};
 use kernel::name::Endpoint;
-use kernel::position::{Position, Reading};
+use kernel::position::{Position, Reading, Report};
+use kernel::turn::Turn;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
+use wire::placement::Topic as Shared;
 
 use crate::adapter::{Batch, Error, Record, Store, Topic};
 use crate::clock::Clock;
@@ -19,10 +21,17 @@
 use crate::observe;
 use crate::placer::Placer;
 use crate::registry::Registry;
+use crate::report;
 
 /// A read of configurations waits at the store for the apply limit plus this time. A connection
 /// that no longer responds is detected only after that wait.
 const CONFIGURATION_READ_SLACK: Duration = Duration::from_millis(500);
+/// Number of hosts of a failure domain that wait at the store for new configurations. The others
+/// learn of them from these.
+const POLLING_HOSTS: usize = 2;
+/// Part of the apply limit after which a host that has heard of no read of the configurations reads
+/// them itself. With the additional wait of its rank and the read, it stays within the limit.
+const CONFIRMATION_SHARE: f64 = 0.6;
 /// Number of reads of the endpoints' entries within the drain limit. Two reads must fit. The
 /// fraction leaves time for the reads themselves.
 const READS_PER_DRAIN: f64 = 2.35;
@@ -95,16 +104,22 @@
 /// Read position of one topic, and since when reads of it fail.
 struct Cursor {
     topic: Topic,
+    /// Name of the topic in the reports of hosts.
+    shared: Shared,
     position: Position,
+    /// When this host must read the topic, unless another one reports a read.
+    turn: Turn,
     failing_since: Option<Instant>,
     backoff: Duration,
 }
 
 impl Cursor {
-    fn new(topic: Topic) -> Self {
+    fn new(topic: Topic, shared: Shared, interval: Duration) -> Self {
         Self {
             topic,
+            shared,
             position: Position::default(),
+            turn: Turn::new(interval),
             failing_since: None,
             backoff: BACKOFF_FIRST,
         }
@@ -113,11 +128,15 @@
 
 impl Follower {
     /// Applies published configurations. Never returns.
+    ///
+    /// The first hosts of the failure domain wait at the store for new ones. The others read when
+    /// they hear of a change, or have heard of no read for some time.
     pub async fn follow_configurations(self: Arc<Self>) {
-        let mut cursor = Cursor::new(Topic::Configuration);
+        let interval = self.apply_limit.mul_f64(CONFIRMATION_SHARE);
+        let mut cursor = Cursor::new(Topic::Configuration, Shared::Configuration, interval);
         loop {
             let read = tokio::select! {
-                read = self.read(&mut cursor, self.apply_limit + CONFIGURATION_READ_SLACK) => read,
+                read = self.next_configurations(&mut cursor) => read,
                 () = self.peer_version.wait_until_behind(&self.registry) => {
                     // The connection of the pending read may be broken. Start a new read.
                     cursor.position.reset();
@@ -130,6 +149,67 @@
         }
     }
 
+    async fn next_configurations(&self, cursor: &mut Cursor) -> Option<(Batch, Reading)> {
+        let rank = self.hosts.rank(cursor.topic);
+        if rank >= POLLING_HOSTS {
+            return self.next_read(cursor, None).await;
+        }
+        // Other hosts of the domain depend on frequent confirmations.
+        let wait = if self.hosts.domain_size() > POLLING_HOSTS {
+            self.apply_limit / 2
+        } else {
+            self.apply_limit + CONFIGURATION_READ_SLACK
+        };
+        self.read(cursor, wait).await
+    }
+
+    /// Reads the store when it is this host's turn, or returns the records that another host has
+    /// reported. Returns `None` at `until` and after a failure.
+    async fn next_read(
+        &self,
+        cursor: &mut Cursor,
+        until: Option<Instant>,
+    ) -> Option<(Batch, Reading)> {
+        if cursor.position.next().is_some() {
+            let now = self.clock.now();
+            let due_at = cursor.turn.due_at(self.hosts.rank(cursor.topic));
+            let due_at = due_at.unwrap_or(now);
+            let wait_until = until.map_or(due_at, |until| until.min(due_at));
+            let reported = timeout(wait_until.since(now), self.next_report(cursor)).await;
+            match reported {
+                Ok(Some(batch)) => return Some((batch, Reading::Changes)),
+                Err(_) if wait_until < due_at => return None,
+                Ok(None) | Err(_) => {}
+            }
+        }
+        self.read(cursor, Duration::ZERO).await
+    }
+
+    /// Waits for a report of another host that confirms the position or moves past it. Returns
+    /// `None` if records are missing.
+    async fn next_report(&self, cursor: &mut Cursor) -> Option<Batch> {
+        loop {
+            let report = self.hosts.inboxes().of(cursor.shared).take().await;
+            let position = &mut cursor.position;
+            let first = match position.compare(report.era, report.from, report.next) {
+                Report::Outdated => continue,
+                Report::Gap => return None,
+                Report::Current(first) => first,
+            };
+            let records = report::records(&report, first)?;
+            position.move_to(report.next);
+            let age = Duration::from_millis(report.age_ms.into());
+            cursor.turn.confirm(self.clock.now().saturating_sub(age));
+            cursor.failing_since = None;
+            observe::count_store_call(cursor.topic.as_str(), "reported");
+            return Some(Batch {
+                records,
+                next: report.next,
+                era: report.era,
+            });
+        }
+    }
+
     fn handle_configuration(&self, record: Record) {
         match record {
             Record::Configuration(configuration) => self.apply_configuration(*configuration),
@@ -154,27 +234,32 @@
 
     /// Applies changes of the endpoints' entries. Never returns.
     pub async fn follow_endpoints(self: Arc<Self>) {
-        let mut cursor = Cursor::new(Topic::Endpoints);
+        let interval = self.drain_limit.div_f64(READS_PER_DRAIN);
+        let mut cursor = Cursor::new(Topic::Endpoints, Shared::Endpoints, interval);
         loop {
             let failing_since = cursor.failing_since;
-            let read = self.read(&mut cursor, Duration::ZERO).await;
+            let expiry = self
+                .registry
+                .with_directory(|directory| directory.next_expiry());
+            let read = self.next_read(&mut cursor, expiry).await;
+            let now = self.clock.now();
+            let expired = expiry.is_some_and(|expiry| expiry <= now);
+            let mut changed = false;
             if let Some((batch, reading)) = read {
-                let now = self.clock.now();
                 if failing_since.is_some_and(|since| now.since(since) >= self.heartbeat) {
                     self.registry
                         .with_directory(|directory| directory.store_recovered(now));
                 }
+                changed = reading != Reading::Changes || !batch.records.is_empty();
                 self.apply_endpoints(batch, reading, now);
             }
-            self.drop_expired();
-            let discarded = cursor.position.next().is_none();
-            if cursor.failing_since.is_none() && !discarded {
-                self.wait_for_next_read().await;
+            if expired || changed {
+                self.drop_expired();
             }
         }
     }
 
-    /// Drops entries that expired and were not renewed.
+    /// Drops entries that expired and were not renewed, and uses the current ones from now on.
     fn drop_expired(&self) {
         let now = self.clock.now();
         for name in self
@@ -186,23 +271,6 @@
         self.refresh_engines();
     }
 
-    /// Waits until the next read of the entries. An entry that expires meanwhile is dropped as soon
-    /// as it expires.
-    async fn wait_for_next_read(&self) {
-        let until = self.clock.now() + self.drain_limit.div_f64(READS_PER_DRAIN);
-        loop {
-            let expiry = self
-                .registry
-                .with_directory(|directory| directory.next_expiry());
-            let next = expiry.map_or(until, |expiry| expiry.min(until));
-            sleep(next.since(self.clock.now())).await;
-            if next == until {
-                return;
-            }
-            self.drop_expired();
-        }
-    }
-
     fn apply_endpoints(&self, batch: Batch, reading: Reading, now: Instant) {
         let mut entries = Vec::new();
         for record in batch.records {
@@ -285,8 +353,9 @@
         }
         let mut announcements = Vec::new();
         for record in batch.records {
-            if let Record::Host(announcement, address) = record {
-                self.hosts.handle_announcement(&announcement.host, address);
+            if let Record::Host(announcement, location) = record {
+                self.hosts
+                    .handle_announcement(&announcement.host, &location);
                 announcements.push(announcement);
             }
         }
@@ -300,7 +369,7 @@
     async fn announce(&self) {
         let announcement = self.fleet.lock().next_announcement();
         let sent_at = self.clock.now();
-        let announce = self.store.announce(&announcement, self.hosts.address());
+        let announce = self.store.announce(&announcement, self.hosts.location());
         let announced = timeout(STORE_TIMEOUT, announce).await;
         let announced =
             announced.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
@@ -315,7 +384,9 @@
     /// Returns the batch and how it must be applied, or `None` after a failure or if the store has
     /// returned from an older copy.
     async fn read(&self, cursor: &mut Cursor, wait: Duration) -> Option<(Batch, Reading)> {
-        let full = cursor.position.next().is_none();
+        let from = cursor.position.next();
+        let full = from.is_none();
+        let sent_at = self.clock.now();
         let call = async {
             match cursor.position.next() {
                 None => self.store.read_newest(cursor.topic).await,
@@ -341,6 +412,19 @@
                 if cursor.failing_since.take().is_some() {
                     log::info!("event=store_regained topic={}", cursor.topic.as_str());
                 }
+                // A read that has waited in vain tells that there was nothing new until its end.
+                let waited = if batch.records.is_empty() {
+                    wait
+                } else {
+                    Duration::ZERO
+                };
+                let current_at = (sent_at + waited).min(self.clock.now());
+                cursor.turn.confirm(current_at);
+                if let (Some(from), Reading::Changes) = (from, reading) {
+                    let age = self.clock.now().since(current_at);
+                    let report = report::build(cursor.shared, from, &batch, age);
+                    self.hosts.report(report).await;
+                }
                 Some((batch, reading))
             }
             Err(Error::Truncated) => {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -2,23 +2,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use kernel::catalogue::Identity;
 use kernel::contact::{Contacts, Heard};
 use kernel::fleet::Fleet;
 use kernel::name::Host;
+use kernel::turn;
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use wire::datagram;
-use wire::placement::{Item, Placements, Scope};
+use wire::placement::{Item, Placements, Read, Scope};
 
+use crate::adapter::{Location, Topic};
 use crate::clock::Clock;
 use crate::follow::PeerVersion;
 use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::registry::Registry;
+use crate::report::Inboxes;
 
 /// Time over which updates are collected into one datagram.
 const BATCH_WINDOW: Duration = Duration::from_millis(2);
@@ -36,7 +40,9 @@
 pub struct Hosts {
     own: Host,
     holder: u64,
-    address: SocketAddr,
+    location: Location,
+    socket: Arc<UdpSocket>,
+    snapshot: AtomicU32,
     clock: Clock,
     registry: Arc<Registry>,
     placer: Arc<Placer>,
@@ -44,16 +50,18 @@
     fleet: Arc<Mutex<Fleet>>,
     contacts: Mutex<Contacts>,
     peer_version: Arc<PeerVersion>,
+    inboxes: Arc<Inboxes>,
 }
 
 impl Hosts {
-    /// Creates an instance that knows no other hosts yet. Other hosts reach this one at `address`.
-    /// What they report is recorded in `notices`, `fleet` and `peer_version`.
+    /// Creates an instance that knows no other hosts yet. Other hosts reach `socket` at `location`.
+    /// What they report is recorded in `notices`, `fleet` and `peer_version`, and in the inboxes.
     #[must_use]
     pub fn new(
         own: Host,
         holder: u64,
-        address: SocketAddr,
+        location: Location,
+        socket: Arc<UdpSocket>,
         notices: Arc<Notices>,
         fleet: Arc<Mutex<Fleet>>,
         peer_version: Arc<PeerVersion>,
@@ -61,7 +69,9 @@
         Self {
             own,
             holder,
-            address,
+            location,
+            socket,
+            snapshot: AtomicU32::new(0),
             clock: notices.clock,
             registry: Arc::clone(&notices.registry),
             placer: Arc::clone(&notices.placer),
@@ -69,6 +79,7 @@
             fleet,
             contacts: Mutex::default(),
             peer_version,
+            inboxes: Arc::default(),
         }
     }
 
@@ -78,20 +89,56 @@
         &self.own
     }
 
-    /// Returns the address at which other hosts reach this one.
+    /// Returns where this host runs.
     #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.address
+    pub const fn location(&self) -> &Location {
+        &self.location
+    }
+
+    /// Returns the reads of the store that other hosts report.
+    #[must_use]
+    pub const fn inboxes(&self) -> &Arc<Inboxes> {
+        &self.inboxes
+    }
+
+    /// Returns the rank of this host among those of its failure domain that read a topic in turn.
+    #[must_use]
+    pub fn rank(&self, topic: Topic) -> usize {
+        let contacts = self.contacts.lock();
+        let live = contacts.live_in(&self.location.domain, self.clock.now());
+        turn::rank(topic.as_str(), &self.own, live.map(|(host, _)| host))
+    }
+
+    /// Returns the number of hosts of the failure domain that are heard, this one included.
+    #[must_use]
+    pub fn domain_size(&self) -> usize {
+        let contacts = self.contacts.lock();
+        let live = contacts.live_in(&self.location.domain, self.clock.now());
+        live.count() + 1
+    }
+
+    /// Reports a read of the store to the other hosts of the failure domain.
+    pub async fn report(&self, read: Read) {
+        let addresses: Vec<_> = {
+            let contacts = self.contacts.lock();
+            let live = contacts.live_in(&self.location.domain, self.clock.now());
+            live.map(|(_, address)| address).collect()
+        };
+        let snapshot = self.snapshot.load(Ordering::Relaxed);
+        let frame = self.build_frame(snapshot, Scope::Updates, vec![Item::StoreRead(read)]);
+        self.send_frame(&frame, &addresses).await;
     }
 
     /// Adds an announced host, or replaces a known one whose address has changed.
-    pub fn handle_announcement(&self, host: &Host, address: SocketAddr) {
+    pub fn handle_announcement(&self, host: &Host, location: &Location) {
         if *host == self.own {
             return;
         }
         let now = self.clock.now();
-        if self.contacts.lock().announce(host, address, now) {
-            log::info!("event=host_announced host={host} address={address}");
+        let Location { address, domain } = location;
+        let mut contacts = self.contacts.lock();
+        if contacts.announce(host, *address, domain, now) {
+            log::info!("event=host_announced host={host} address={address} domain={domain}");
         }
     }
 
@@ -107,9 +154,8 @@
     }
 
     /// Sends updates as they occur, and periodic snapshots. Never returns.
-    pub async fn send(self: Arc<Self>, socket: Arc<UdpSocket>) {
+    pub async fn send(self: Arc<Self>) {
         let mut next_snapshot = self.clock.now();
-        let mut snapshot = 0;
         loop {
             let wait = next_snapshot.since(self.clock.now());
             let due = tokio::select! {
@@ -117,7 +163,7 @@
                 () = sleep(wait) => true,
             };
             if due {
-                snapshot += 1;
+                let snapshot = self.snapshot.fetch_add(1, Ordering::Relaxed) + 1;
                 next_snapshot = self.clock.now() + SNAPSHOT_INTERVAL;
                 self.drop_silent_peers();
                 self.placer.drop_expired();
@@ -126,20 +172,20 @@
                 placements.push(Item::Counted(self.fleet.lock().digest(self.clock.now())));
                 let frames =
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
-                self.send_items(&socket, snapshot, Scope::Snapshot { frames }, placements)
+                self.send_items(snapshot, Scope::Snapshot { frames }, placements)
                     .await;
             } else {
                 sleep(BATCH_WINDOW).await;
                 let updates = self.placer.take_updates();
-                self.send_items(&socket, snapshot, Scope::Updates, updates)
-                    .await;
+                let snapshot = self.snapshot.load(Ordering::Relaxed);
+                self.send_items(snapshot, Scope::Updates, updates).await;
             }
         }
     }
 
     /// Sends items to the other hosts in as many datagrams as needed. `snapshot` is the number of
     /// the last snapshot.
-    async fn send_items(&self, socket: &UdpSocket, snapshot: u32, scope: Scope, items: Vec<Item>) {
+    async fn send_items(&self, snapshot: u32, scope: Scope, items: Vec<Item>) {
         let now = self.clock.now();
         let addresses = {
             let contacts = self.contacts.lock();
@@ -157,14 +203,18 @@
         }
         for chunk in chunks {
             let frame = self.build_frame(snapshot, scope, chunk.to_vec());
-            let Ok(bytes) = datagram::encode(TAG_KEY, &frame) else {
-                log::error!("event=frame_too_large items={}", frame.items.len());
-                continue;
-            };
-            for address in &addresses {
-                if let Err(error) = socket.send_to(&bytes, address).await {
-                    log::debug!("event=not_told address={address} error={error}");
-                }
+            self.send_frame(&frame, &addresses).await;
+        }
+    }
+
+    async fn send_frame(&self, frame: &Placements, addresses: &[SocketAddr]) {
+        let Ok(bytes) = datagram::encode(TAG_KEY, frame) else {
+            log::error!("event=frame_too_large items={}", frame.items.len());
+            return;
+        };
+        for address in addresses {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log::debug!("event=not_told address={address} error={error}");
             }
         }
     }
@@ -179,10 +229,10 @@
     }
 
     /// Receives the datagrams of the other hosts. Never returns.
-    pub async fn receive(self: Arc<Self>, socket: Arc<UdpSocket>) {
+    pub async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            let (length, from) = match socket.recv_from(&mut buffer).await {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
                     log::debug!("event=not_heard error={error}");
@@ -217,6 +267,7 @@
             match item {
                 Item::Leaving(identity) => self.notices.apply_forwarded(Identity(*identity)),
                 Item::Counted(digest) => self.fleet.lock().record_counted(&host, *digest, now),
+                Item::StoreRead(read) => self.inboxes.push(read.clone()),
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod plain;
 mod registry;
 mod relay;
+mod report;
 mod reservation;
 pub mod server;
 pub mod settings;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::adapter::{Dialect, Memory, Store};
+use crate::adapter::{Dialect, Location, Memory, Store};
 use crate::admin;
 use crate::body::Body;
 use crate::budget::Budgets;
@@ -108,10 +108,15 @@
         );
         let fleet = Arc::new(Mutex::new(fleet));
         let peer_version = Arc::new(PeerVersion::default());
+        let location = Location {
+            address: socket.local_addr()?,
+            domain: domain.clone(),
+        };
         let hosts = Arc::new(Hosts::new(
             own,
             holder,
-            socket.local_addr()?,
+            location,
+            socket,
             Arc::clone(&notices),
             Arc::clone(&fleet),
             Arc::clone(&peer_version),
@@ -148,21 +153,14 @@
         tasks.spawn(Arc::clone(&follower).follow_configurations());
         tasks.spawn(Arc::clone(&follower).follow_endpoints());
         tasks.spawn(follower.follow_hosts());
-        tasks.spawn(Arc::clone(&hosts).send(Arc::clone(&socket)));
-        tasks.spawn(hosts.receive(socket));
+        tasks.spawn(Arc::clone(&hosts).send());
+        tasks.spawn(hosts.receive());
         tasks.spawn(assign_periodically(placer));
         tasks.spawn(sweep_periodically(pipeline));
         tasks.spawn(Arc::clone(&server).accept(clients));
-        {
-            let (registry, draining) = (Arc::clone(&registry), Arc::clone(&draining));
-            let respond = move || self::readiness(&registry, &draining);
-            tasks.spawn(admin::serve(readiness, respond));
-        }
-        if let Some(listener) = metrics {
-            let (registry, server) = (Arc::clone(&registry), Arc::clone(&server));
-            let respond = move || render_metrics(&registry, &server);
-            tasks.spawn(admin::serve(listener, respond));
-        }
+        spawn_admin(
+            &mut tasks, readiness, metrics, &registry, &server, &draining,
+        );
         log::info!(
             "event=started host={} domain={} life={holder:x} clients={address}",
             settings.host,
@@ -244,6 +242,25 @@
     }
 }
 
+/// Spawns the listeners for readiness probes and metrics.
+fn spawn_admin(
+    tasks: &mut JoinSet<()>,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+    registry: &Arc<Registry>,
+    server: &Arc<Server>,
+    draining: &Arc<AtomicBool>,
+) {
+    let (probed, draining) = (Arc::clone(registry), Arc::clone(draining));
+    let respond = move || self::readiness(&probed, &draining);
+    tasks.spawn(admin::serve(readiness, respond));
+    if let Some(listener) = metrics {
+        let (registry, server) = (Arc::clone(registry), Arc::clone(server));
+        let respond = move || render_metrics(&registry, &server);
+        tasks.spawn(admin::serve(listener, respond));
+    }
+}
+
 async fn assign_periodically(placer: Arc<Placer>) {
     loop {
         sleep(ASSIGN_INTERVAL).await;
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -1,5 +1,7 @@
 //! Frames with which hosts share the requests that they have placed on engines.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 /// Updates to the placements of one host, or a part of a snapshot of all of them.
@@ -49,6 +51,65 @@
     Leaving(u64),
     /// Digest of the hosts that the sender counts.
     Counted(u64),
+    /// The sender has read a topic of the store.
+    StoreRead(Read),
+}
+
+/// A read of one topic of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Read {
+    /// The topic.
+    pub topic: Topic,
+    /// Era of the store, if it is known.
+    pub era: Option<u64>,
+    /// Position of the first record in `changes`.
+    pub from: u64,
+    /// Position after the last record. If `changes` are fewer than the records between the two
+    /// positions, they were too many to send.
+    pub next: u64,
+    /// Time from the start of the read to sending this report, in milliseconds.
+    pub age_ms: u32,
+    /// The records, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// A topic that hosts read for each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Topic {
+    /// The operator's configurations, whose records are never sent.
+    Configuration,
+    /// The entries of endpoints.
+    Endpoints,
+}
+
+/// A record of the endpoints' topic.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// An endpoint has written its entry.
+    Put(Endpoint),
+    /// The entry of the endpoint with this name was removed.
+    Removed(String),
+    /// The sender could not decode the record.
+    Unreadable,
+}
+
+/// The entry of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Start time in milliseconds of the endpoint's own wall clock.
+    pub started_ms: u64,
+    /// Service that the endpoint belongs to.
+    pub service: String,
+    /// Network address.
+    pub address: SocketAddr,
+    /// Failure domain of the endpoint.
+    pub domain: String,
+    /// Maximum number of concurrent requests.
+    pub slots: u32,
+    /// Whether the endpoint drains.
+    pub draining: bool,
 }
 
 /// The part of a request that is placed on one engine. Times are relative to the time of sending.
