--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -154,8 +154,12 @@
         if rank >= POLLING_HOSTS {
             return self.next_read(cursor, None).await;
         }
-        // Other hosts of the domain depend on frequent confirmations.
-        let wait = if self.hosts.domain_size() > POLLING_HOSTS {
+        let wait = if cursor.failing_since.is_some() {
+            // A read that is sent while the store cannot be reached is given up soon, so that the
+            // next one finds the store again.
+            Duration::ZERO
+        } else if self.hosts.domain_size() > POLLING_HOSTS {
+            // Other hosts of the domain depend on frequent confirmations.
             self.apply_limit / 2
         } else {
             self.apply_limit + CONFIGURATION_READ_SLACK
