Wait longer for all records when the store takes long to send them

A read of the newest record of each key was given up after 1.4 s, all its pages together, and repeated at once. A store that needs longer, as when hundreds of hosts start together, never gets a read through and is loaded by the reads that are given up.

Change: the wait doubles with each full read that is given up, up to 8 s.

Result: host_starts_although_the_store_takes_seconds_for_a_full_read never became ready before, with a store that takes 2 s, and now does.

--- a/crates/fakes/src/site/log.rs
+++ b/crates/fakes/src/site/log.rs
@@ -16,7 +16,7 @@
 use relay::body::Body;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::http1::{Handler, Request, json_response};
 use crate::server::query_param;
@@ -41,6 +41,8 @@
     appended: Notify,
     down: AtomicBool,
     era: AtomicU64,
+    /// Time that each read of the newest records takes.
+    newest_delay: Mutex<Duration>,
     /// Replaces the header with the era on every response, so that a test can send malformed ones.
     era_header: Mutex<Option<HeaderValue>>,
 }
@@ -89,6 +91,11 @@
         *self.era_header.lock() = value;
     }
 
+    /// Delays each read of the newest records by `time`, as when many hosts read them at once.
+    pub fn delay_newest(&self, time: Duration) {
+        *self.newest_delay.lock() = time;
+    }
+
     /// Returns the newest value of `key` in a topic, or `None` if the topic does not have the key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Bytes> {
@@ -194,7 +201,11 @@
                 None => json_response(StatusCode::BAD_REQUEST, &json!({})),
             },
             names::LOG_READ_PATH => self.long_poll(&topic, from, wait).await,
-            names::LOG_NEWEST_PATH => json_response(StatusCode::OK, &self.read_newest(&topic)),
+            names::LOG_NEWEST_PATH => {
+                let delay = *self.newest_delay.lock();
+                sleep(delay).await;
+                json_response(StatusCode::OK, &self.read_newest(&topic))
+            }
             _ => json_response(StatusCode::NOT_FOUND, &json!({})),
         }
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -45,6 +45,12 @@
 ];
 /// Longest wait for a response of the store, beyond the wait that the request asks for.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest first wait for the newest record of each key, which may need several responses. Doubles
+/// with each read that is given up, up to [`FULL_TIMEOUT_LONGEST`], because a store that sends all
+/// records to many hosts at once takes longer.
+const FULL_TIMEOUT_FIRST: Duration = Duration::from_millis(1_400);
+/// Longest wait for the newest record of each key.
+const FULL_TIMEOUT_LONGEST: Duration = Duration::from_secs(8);
 /// Time after which a version that another host has should have arrived here too.
 const VERSION_GRACE: Duration = Duration::from_millis(250);
 /// Wait after the first failed call. Doubles with each further failure up to
@@ -111,6 +117,8 @@
     turn: Turn,
     failing_since: Option<Instant>,
     backoff: Duration,
+    /// Longest wait for the next read of the newest record of each key.
+    full_timeout: Duration,
 }
 
 impl Cursor {
@@ -122,6 +130,7 @@
             turn: Turn::new(interval),
             failing_since: None,
             backoff: BACKOFF_FIRST,
+            full_timeout: FULL_TIMEOUT_FIRST,
         }
     }
 }
@@ -398,16 +407,21 @@
             }
         };
         let limit = if full {
-            STORE_TIMEOUT * 2
+            cursor.full_timeout
         } else {
             wait + STORE_TIMEOUT
         };
-        let read = timeout(limit, call).await;
-        let read = read.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
+        let read = timeout(limit, call).await.unwrap_or_else(|_| {
+            if full {
+                cursor.full_timeout = (cursor.full_timeout * 2).min(FULL_TIMEOUT_LONGEST);
+            }
+            Err(Error::Uncertain("no answer in time".to_owned()))
+        });
         match read {
             Ok(batch) => {
                 observe::count_store_call(cursor.topic.as_str(), "read");
                 cursor.backoff = BACKOFF_FIRST;
+                cursor.full_timeout = FULL_TIMEOUT_FIRST;
                 let reading = cursor.position.advance(batch.era, batch.next);
                 if reading == Reading::Discard {
                     self.handle_restore(cursor.topic, batch.era);
