--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -15,9 +15,6 @@
 const EXPIRY: Duration = Duration::from_secs(30);
 /// Number of snapshots of which one is sent to a host that has been silent for long.
 const PROBE_EVERY: u32 = 10;
-/// Number of snapshots of which one is sent whole to hosts of other failure domains, where bytes are
-/// billed. They get a heartbeat instead of the others. A lost update is repaired in two seconds.
-const REMOTE_EVERY: u32 = 4;
 
 #[derive(Clone, Debug)]
 struct Contact {
@@ -40,33 +37,13 @@
     Restarted(u64),
 }
 
-/// Addresses of the hosts that get a snapshot.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Targets {
-    /// Hosts that get the whole snapshot.
-    pub whole: Vec<SocketAddr>,
-    /// Hosts that get a frame without placements, which shows that the sender is alive.
-    pub heartbeat: Vec<SocketAddr>,
-}
-
 /// The other hosts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Contacts {
-    /// Failure domain of this host.
-    domain: Domain,
     hosts: BTreeMap<Host, Contact>,
 }
 
 impl Contacts {
-    /// Creates an empty table of a host in `domain`.
-    #[must_use]
-    pub const fn new(domain: Domain) -> Self {
-        Self {
-            domain,
-            hosts: BTreeMap::new(),
-        }
-    }
-
     /// Adds an announced host, or replaces a known one whose address has changed; returns whether
     /// it did.
     pub fn announce(
@@ -122,20 +99,20 @@
             .collect()
     }
 
-    /// Returns the hosts of this failure domain that were heard recently, with their addresses.
-    pub fn live_neighbours(&self, now: Instant) -> impl Iterator<Item = (&Host, SocketAddr)> {
+    /// Returns the hosts of `domain` that were heard recently, with their addresses.
+    pub fn live_in(
+        &self,
+        domain: &Domain,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Host, SocketAddr)> {
         let live = self.hosts.iter().filter(move |(_, contact)| {
             contact.holder.is_some()
-                && self.is_neighbour(contact)
+                && contact.domain.as_ref() == Some(domain)
                 && now.since(contact.last_seen) <= TIMEOUT
         });
         live.map(|(host, contact)| (host, contact.address))
     }
 
-    fn is_neighbour(&self, contact: &Contact) -> bool {
-        contact.domain.as_ref() == Some(&self.domain)
-    }
-
     /// Returns the addresses to which an update is sent.
     pub fn update_targets(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let contacts = self.hosts.values();
@@ -146,20 +123,10 @@
 
     /// Returns the addresses to which the snapshot with this number is sent.
     #[must_use]
-    pub fn snapshot_targets(&self, number: u32, now: Instant) -> Targets {
-        let mut targets = Targets::default();
-        for contact in self.hosts.values() {
-            let expired = now.since(contact.last_seen) >= EXPIRY;
-            if expired && !number.is_multiple_of(PROBE_EVERY) {
-                continue;
-            }
-            let whole = self.is_neighbour(contact) || number.is_multiple_of(REMOTE_EVERY);
-            if whole && !expired {
-                targets.whole.push(contact.address);
-            } else {
-                targets.heartbeat.push(contact.address);
-            }
+    pub fn snapshot_targets(&self, number: u32, now: Instant) -> Vec<SocketAddr> {
+        if number.is_multiple_of(PROBE_EVERY) {
+            return self.hosts.values().map(|contact| contact.address).collect();
         }
-        targets
+        self.update_targets(now).collect()
     }
 }
--- a/crates/kernel/tests/contact.rs
+++ b/crates/kernel/tests/contact.rs
@@ -28,7 +28,7 @@
 #[case::longer_than_the_expiry(31)]
 #[case::very_long(600)]
 fn two_hosts_hear_each_other_again_after_a_partition(#[case] seconds: u64) {
-    let mut hosts = [Contacts::new(domain()), Contacts::new(domain())];
+    let mut hosts = [Contacts::default(), Contacts::default()];
     let mut now = Instant::from_millis(1_000_000);
     hosts[0].announce(&name(1), address(1), &domain(), now);
     hosts[1].announce(&name(0), address(0), &domain(), now);
@@ -40,8 +40,7 @@
         for sender in 0..2_u8 {
             let receiver = 1 - sender;
             let targets = hosts[usize::from(sender)].snapshot_targets(snapshot, now);
-            let mut addresses = targets.whole.iter().chain(&targets.heartbeat);
-            let sent = addresses.any(|other| *other == address(receiver));
+            let sent = targets.contains(&address(receiver));
             if sent && now >= healed_at {
                 hosts[usize::from(receiver)].hear(&name(sender), 7, address(sender), now);
                 heard[usize::from(receiver)] = now;
@@ -57,47 +56,20 @@
 /// A host that is gone for good costs one datagram in five seconds.
 #[test]
 fn a_host_that_is_gone_gets_few_datagrams() {
-    let mut contacts = Contacts::new(domain());
+    let mut contacts = Contacts::default();
     let mut now = Instant::from_millis(1_000_000);
     contacts.announce(&name(1), address(1), &domain(), now);
     now = now + Duration::from_mins(1);
     assert_eq!(contacts.update_targets(now).count(), 0);
     let sent: usize = (1..=120)
-        .map(|number| {
-            let targets = contacts.snapshot_targets(number, now);
-            targets.whole.len() + targets.heartbeat.len()
-        })
+        .map(|number| contacts.snapshot_targets(number, now).len())
         .sum();
     assert_eq!(sent, 12);
 }
 
-/// Snapshots of placements are most of the bytes between failure domains, which are billed. Hosts
-/// there still hear of this one twice a second.
-#[test]
-fn hosts_of_other_domains_get_every_fourth_snapshot_whole() {
-    let mut contacts = Contacts::new(domain());
-    let now = Instant::from_millis(1_000_000);
-    contacts.announce(&name(1), address(1), &domain(), now);
-    contacts.announce(&name(2), address(2), &Domain::from("sherwood"), now);
-    contacts.hear(&name(3), 7, address(3), now);
-    let mut whole = [0; 4];
-    let mut heartbeats = [0; 4];
-    for number in 1..=8 {
-        let targets = contacts.snapshot_targets(number, now);
-        for index in 1..=3 {
-            let at = address(index);
-            whole[usize::from(index)] += targets.whole.iter().filter(|to| **to == at).count();
-            let empty = targets.heartbeat.iter().filter(|to| **to == at);
-            heartbeats[usize::from(index)] += empty.count();
-        }
-    }
-    assert_eq!(whole, [0, 8, 2, 2]);
-    assert_eq!(heartbeats, [0, 0, 6, 6]);
-}
-
 #[test]
 fn the_placements_of_a_silent_host_are_dropped_once() {
-    let mut contacts = Contacts::new(domain());
+    let mut contacts = Contacts::default();
     let now = Instant::from_millis(1_000_000);
     assert_eq!(contacts.hear(&name(1), 7, address(1), now), Heard::New);
     assert_eq!(contacts.hear(&name(1), 7, address(1), now), Heard::Known);
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -66,7 +66,6 @@
         fleet: Arc<Mutex<Fleet>>,
         peer_version: Arc<PeerVersion>,
     ) -> Self {
-        let contacts = Mutex::new(Contacts::new(location.domain.clone()));
         Self {
             own,
             holder,
@@ -78,7 +77,7 @@
             placer: Arc::clone(&notices.placer),
             notices,
             fleet,
-            contacts,
+            contacts: Mutex::default(),
             peer_version,
             inboxes: Arc::default(),
         }
@@ -106,7 +105,7 @@
     #[must_use]
     pub fn rank(&self, topic: Topic) -> usize {
         let contacts = self.contacts.lock();
-        let live = contacts.live_neighbours(self.clock.now());
+        let live = contacts.live_in(&self.location.domain, self.clock.now());
         turn::rank(topic.as_str(), &self.own, live.map(|(host, _)| host))
     }
 
@@ -114,7 +113,7 @@
     #[must_use]
     pub fn domain_size(&self) -> usize {
         let contacts = self.contacts.lock();
-        let live = contacts.live_neighbours(self.clock.now());
+        let live = contacts.live_in(&self.location.domain, self.clock.now());
         live.count() + 1
     }
 
@@ -122,7 +121,7 @@
     pub async fn report(&self, read: Read) {
         let addresses: Vec<_> = {
             let contacts = self.contacts.lock();
-            let live = contacts.live_neighbours(self.clock.now());
+            let live = contacts.live_in(&self.location.domain, self.clock.now());
             live.map(|(_, address)| address).collect()
         };
         let snapshot = self.snapshot.load(Ordering::Relaxed);
@@ -168,53 +167,47 @@
                 next_snapshot = self.clock.now() + SNAPSHOT_INTERVAL;
                 self.drop_silent_peers();
                 self.placer.drop_expired();
-                let updates = self.placer.take_updates();
-                self.send_snapshot(snapshot, updates).await;
+                self.placer.take_updates();
+                let mut placements = self.placer.placements();
+                placements.push(Item::Counted(self.fleet.lock().digest(self.clock.now())));
+                let frames =
+                    u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
+                self.send_items(snapshot, Scope::Snapshot { frames }, placements)
+                    .await;
             } else {
                 sleep(BATCH_WINDOW).await;
                 let updates = self.placer.take_updates();
-                self.send_updates(&updates).await;
+                let snapshot = self.snapshot.load(Ordering::Relaxed);
+                self.send_items(snapshot, Scope::Updates, updates).await;
             }
         }
     }
 
-    async fn send_updates(&self, updates: &[Item]) {
-        let addresses: Vec<_> = {
+    /// Sends items to the other hosts in as many datagrams as needed. `snapshot` is the number of
+    /// the last snapshot.
+    async fn send_items(&self, snapshot: u32, scope: Scope, items: Vec<Item>) {
+        let now = self.clock.now();
+        let addresses = {
             let contacts = self.contacts.lock();
-            contacts.update_targets(self.clock.now()).collect()
+            match scope {
+                Scope::Updates => contacts.update_targets(now).collect(),
+                Scope::Snapshot { .. } => contacts.snapshot_targets(snapshot, now),
+            }
         };
-        let snapshot = self.snapshot.load(Ordering::Relaxed);
-        for items in updates.chunks(MAX_ITEMS) {
-            let frame = self.build_frame(snapshot, Scope::Updates, items.to_vec());
-            self.send_frame(&frame, &addresses).await;
+        if addresses.is_empty() {
+            return;
         }
-    }
-
-    /// Sends the snapshot with this number in as many datagrams as needed. It includes the updates
-    /// since the last frame; hosts that get a heartbeat instead get these updates with it.
-    async fn send_snapshot(&self, number: u32, mut updates: Vec<Item>) {
-        let now = self.clock.now();
-        let targets = self.contacts.lock().snapshot_targets(number, now);
-        let counted = Item::Counted(self.fleet.lock().digest(now));
-        updates.push(counted.clone());
-        for items in updates.chunks(MAX_ITEMS) {
-            let heartbeat = self.build_frame(number, Scope::Updates, items.to_vec());
-            self.send_frame(&heartbeat, &targets.heartbeat).await;
+        let mut chunks: Vec<&[Item]> = items.chunks(MAX_ITEMS).collect();
+        if chunks.is_empty() && scope != Scope::Updates {
+            chunks.push(&[]);
         }
-        let mut items = self.placer.placements();
-        items.push(counted);
-        let chunks = items.chunks(MAX_ITEMS);
-        let frames = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-        for items in chunks {
-            let frame = self.build_frame(number, Scope::Snapshot { frames }, items.to_vec());
-            self.send_frame(&frame, &targets.whole).await;
+        for chunk in chunks {
+            let frame = self.build_frame(snapshot, scope, chunk.to_vec());
+            self.send_frame(&frame, &addresses).await;
         }
     }
 
     async fn send_frame(&self, frame: &Placements, addresses: &[SocketAddr]) {
-        if addresses.is_empty() {
-            return;
-        }
         let Ok(bytes) = datagram::encode(TAG_KEY, frame) else {
             log::error!("event=frame_too_large items={}", frame.items.len());
             return;
