Keep the arrival time of reports and compare digests only when they change

Cause, found while reading the series again: a host that polls leaves reports in its inbox, and one that stops polling took them for new. And each datagram with a digest made a host hash the names of all hosts, which grows with the square of them.

Change: reports carry the time of their arrival; hosts keep each other's part of the digest and compare only a digest that differs from the last one.

Result: the tests of fleet, turn and the adapter pass as before.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Member {
     incarnation: u64,
+    /// Part of this incarnation in the digest.
+    weight: u64,
     renewal: u64,
     /// Time at which this renewal was first read, or of the last datagram if that is later.
     seen_at: Instant,
@@ -179,6 +181,7 @@
             .and_then(|member| member.counted);
         let member = Member {
             incarnation: announcement.incarnation,
+            weight: weight(&announcement.host, announcement.incarnation),
             renewal: announcement.renewal,
             seen_at: now,
             counted,
@@ -196,6 +199,7 @@
             _ => {
                 let member = Member {
                     incarnation,
+                    weight: weight(host, incarnation),
                     renewal: 0,
                     seen_at: now,
                     counted: None,
@@ -208,10 +212,13 @@
 
     /// Records which hosts another host counts, as a digest from [`Fleet::digest`].
     pub fn record_counted(&mut self, host: &Host, digest: u64, now: Instant) {
-        if let Some(member) = self.members.get_mut(host) {
+        // Hosts repeat their digest in every snapshot, and it rarely changes.
+        if let Some(member) = self.members.get_mut(host)
+            && member.counted != Some(digest)
+        {
             member.counted = Some(digest);
+            self.update_agreement(now);
         }
-        self.update_agreement(now);
     }
 
     /// Records that the store has returned from an older copy. Hosts whose announcements it lost
@@ -222,7 +229,7 @@
 
     fn update_agreement(&mut self, now: Instant) {
         let own = Some(self.digest(now));
-        if self.counted(now).all(|(_, member)| member.counted == own) {
+        if self.counted(now).all(|member| member.counted == own) {
             self.agreed_since.get_or_insert(now);
         } else {
             self.agreed_since = None;
@@ -230,21 +237,18 @@
     }
 
     /// Returns the other hosts that may have a share, or may have used one within the window.
-    fn counted(&self, now: Instant) -> impl Iterator<Item = (&Host, &Member)> {
+    fn counted(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let longest = LEASE + self.window;
-        let members = self.members.iter();
-        members.filter(move |(_, member)| now.since(member.seen_at) < longest)
+        let members = self.members.values();
+        members.filter(move |member| now.since(member.seen_at) < longest)
     }
 
     /// Returns a digest of the hosts that this one counts, itself included, and their incarnations.
     #[must_use]
     pub fn digest(&self, now: Instant) -> u64 {
-        let own = rendezvous(self.own.as_str(), &self.incarnation.to_string());
-        let others = self.counted(now).map(|(host, member)| {
-            let incarnation = member.incarnation.to_string();
-            rendezvous(host.as_str(), &incarnation)
-        });
+        let own = weight(&self.own, self.incarnation);
         // The sum does not depend on the order of the hosts.
+        let others = self.counted(now).map(|member| member.weight);
         others.fold(own, u64::wrapping_add)
     }
 
@@ -277,3 +281,7 @@
         (joined || agreed).then_some(count)
     }
 }
+
+fn weight(host: &Host, incarnation: u64) -> u64 {
+    rendezvous(host.as_str(), &incarnation.to_string())
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -202,7 +202,7 @@
     /// `None` if records are missing.
     async fn next_report(&self, cursor: &mut Cursor) -> Option<Batch> {
         loop {
-            let report = self.hosts.inboxes().of(cursor.shared).take().await;
+            let (arrived, report) = self.hosts.inboxes().of(cursor.shared).take().await;
             let position = &mut cursor.position;
             let first = match position.compare(report.era, report.from, report.next) {
                 Report::Outdated => continue,
@@ -212,7 +212,7 @@
             let records = report::records(&report, first)?;
             position.move_to(report.next);
             let age = Duration::from_millis(report.age_ms.into());
-            cursor.turn.confirm(self.clock.now().saturating_sub(age));
+            cursor.turn.confirm(arrived.saturating_sub(age));
             cursor.failing_since = None;
             observe::count_store_call(cursor.topic.as_str(), "reported");
             return Some(Batch {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -267,7 +267,7 @@
             match item {
                 Item::Leaving(identity) => self.notices.apply_forwarded(Identity(*identity)),
                 Item::Counted(digest) => self.fleet.lock().record_counted(&host, *digest, now),
-                Item::StoreRead(read) => self.inboxes.push(read.clone()),
+                Item::StoreRead(read) => self.inboxes.push(read.clone(), now),
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kernel::catalogue::{Entry, State};
+use kernel::clock::Instant;
 use kernel::name::{Domain, Endpoint, Service};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -17,26 +18,27 @@
 /// Maximum number of reports that wait to be applied. The newest ones matter.
 const MAX_WAITING: usize = 64;
 
-/// Reports of one topic that have arrived from other hosts.
+/// Reports of one topic that have arrived from other hosts, with the time of arrival.
 #[derive(Debug, Default)]
 pub struct Inbox {
-    reports: Mutex<VecDeque<Read>>,
+    reports: Mutex<VecDeque<(Instant, Read)>>,
     arrived: Notify,
 }
 
 impl Inbox {
-    /// Adds a report.
-    pub fn push(&self, report: Read) {
+    /// Adds a report that arrives now.
+    pub fn push(&self, report: Read, now: Instant) {
         let mut reports = self.reports.lock();
         if reports.len() == MAX_WAITING {
             reports.pop_front();
         }
-        reports.push_back(report);
+        reports.push_back((now, report));
         self.arrived.notify_one();
     }
 
-    /// Waits for a report and returns the oldest one. Nothing is lost if the wait is cancelled.
-    pub async fn take(&self) -> Read {
+    /// Waits for a report and returns the oldest one with the time of its arrival. Nothing is lost
+    /// if the wait is cancelled.
+    pub async fn take(&self) -> (Instant, Read) {
         loop {
             if let Some(report) = self.reports.lock().pop_front() {
                 return report;
@@ -63,9 +65,9 @@
         }
     }
 
-    /// Adds a report to the inbox of its topic.
-    pub fn push(&self, report: Read) {
-        self.of(report.topic).push(report);
+    /// Adds a report that arrives now to the inbox of its topic.
+    pub fn push(&self, report: Read, now: Instant) {
+        self.of(report.topic).push(report, now);
     }
 }
 
