Replace engines that stall but send a byte now and then

Cause: operators of similar systems saw streams that stalled, sent a byte now and then, and never ended. Here each byte restarted the time allowed for an event, and a byte ended the search for another engine, so such a stream lasted until the request's deadline.

Change: only a whole event restarts the time or ends the search; waiting for a slow client does not count. The relaying of events moves to a file of its own.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -26,6 +26,8 @@
     BreakAfter(u64),
     /// Sends nothing more after this many events, but keeps the connection open.
     HangAfter(u64),
+    /// After this many events, sends a byte of the next one now and then, and never a whole event.
+    TrickleAfter(u64),
     /// Pauses after this many events until the host counts the engine as unresponsive, then goes on.
     PauseAfter(u64),
     /// Runs the request and closes the connection without a response.
@@ -249,6 +251,9 @@
                         return;
                     }
                     Some(Fault::PauseAfter(events)) if events == sent => sleep(LONG_PAUSE).await,
+                    Some(Fault::TrickleAfter(events)) if events == sent => {
+                        return trickle(&sender).await;
+                    }
                     Some(Fault::HangAfter(events)) if events == sent => {
                         return sender.closed().await;
                     }
@@ -269,6 +274,16 @@
 /// Time between two events of an engine that decodes a few sequences.
 const EVENT_INTERVAL: Duration = Duration::from_millis(45);
 
+/// Sends bytes that never complete an event until the client has disconnected.
+async fn trickle(sender: &mpsc::Sender<Result<Bytes, Error>>) {
+    while sender.send(Ok(Bytes::from_static(b"i"))).await.is_ok() {
+        sleep(TRICKLE_INTERVAL).await;
+    }
+}
+
+/// Time between two bytes of an engine that stalls.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Returns the time to prefill a prompt on one engine: 4 µs per token and 92 µs per million pairs
 /// of tokens.
 fn prefill_time(prompt_tokens: u64) -> Duration {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -1,12 +1,13 @@
 //! Relays event streams from engines, and resumes them at another engine where the route allows it.
 
+mod forward;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, response};
 use kernel::catalogue::{Entry, Profile};
-use kernel::event::Splitter;
 use kernel::outlier::Observation;
 use kernel::place::Request;
 use tokio::sync::mpsc;
@@ -14,7 +15,7 @@
 
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
-use crate::body::{Body, Error};
+use crate::body::Body;
 use crate::headers::end_to_end;
 use crate::observe;
 use crate::pipeline::{Accepted, Pipeline};
@@ -26,9 +27,6 @@
 /// Time beyond twice the predicted time to the first event after which an engine counts as
 /// unresponsive.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_200);
-/// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
-/// after 2 s.
-const PAUSE_SLACK: Duration = Duration::from_millis(1_200);
 /// Maximum number of event chunks that wait for a slow client. While this many wait, the engine's
 /// stream is not read.
 const MAX_BUFFERED_EVENTS: usize = 4;
@@ -37,11 +35,6 @@
 /// Allowed pause between events if the route sets none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
-/// Logged reason for a stream that ended inside an event.
-const PARTIAL_EVENT: &str = "the stream ended inside an event";
-/// Logged reason for a stream with an event above the size limit.
-const OVERSIZED_EVENT: &str = "an event exceeds the size limit";
-
 /// An open stream from an engine, with its placement and reservations.
 struct Upstream {
     exchange: Exchange,
@@ -50,18 +43,6 @@
     _reservations: Reservations,
 }
 
-/// How the relaying of one engine's stream ended.
-enum End {
-    Complete,
-    ClientDisconnected,
-    /// The request's deadline passed.
-    Expired,
-    /// No event arrived in time. The stream is still open.
-    Unresponsive,
-    /// The stream was interrupted or invalid, with the reason.
-    Broken(String),
-}
-
 /// Reason why no stream could be opened.
 enum OpenError {
     /// An engine's own error response, to be forwarded.
@@ -287,188 +268,6 @@
         })
     }
 
-    /// Relays a stream to its end, from several engines where needed.
-    async fn relay(mut self, mut upstream: Upstream, sender: mpsc::Sender<Result<Bytes, Error>>) {
-        let mut splitter = Splitter::resume_after(self.accepted.metadata.resume_after.as_deref());
-        let resumable = self.accepted.route.resumable;
-        let mut wait_until_deadline = !resumable;
-        loop {
-            let mut end = self
-                .relay_events(&mut upstream, &mut splitter, &sender, wait_until_deadline)
-                .await;
-            if matches!(end, End::Unresponsive) {
-                self.record_failure(
-                    &upstream.engine,
-                    Observation::Unresponsive,
-                    "no event in time",
-                );
-                match self
-                    .find_replacement(&mut upstream, &mut splitter, &sender)
-                    .await
-                {
-                    Some(ended) => end = ended,
-                    None => continue,
-                }
-                if matches!(end, End::Unresponsive) {
-                    wait_until_deadline = true;
-                    continue;
-                }
-            }
-            let reason = match end {
-                End::Complete => {
-                    self.record_observation(&upstream.engine, Observation::Succeeded);
-                    upstream.exchange.finish();
-                    return;
-                }
-                End::ClientDisconnected => return,
-                End::Expired | End::Unresponsive => GiveUp::Expired.as_str().to_owned(),
-                End::Broken(reason) => reason,
-            };
-            splitter.discard_partial();
-            let expired = self.pipeline.clock.now() >= self.accepted.deadline;
-            self.record_failure(&upstream.engine, Observation::Failed, &reason);
-            drop(upstream);
-            let continued = if resumable && !expired {
-                let resume_after = splitter.last_id().map(str::to_owned);
-                tokio::select! {
-                    next = self.open(resume_after.as_deref()) => next.ok(),
-                    () = sender.closed() => return,
-                }
-            } else {
-                None
-            };
-            let Some(next) = continued else {
-                observe::count_interrupted_stream("broken_off");
-                log::info!(
-                    "event=broken_off request={} service={} prompt={} events={} after_ms={} reason=\"{reason}\"",
-                    self.accepted.id(),
-                    self.accepted.service,
-                    self.prompt_tokens,
-                    splitter.events(),
-                    self.elapsed().as_millis()
-                );
-                // Fails if the client has disconnected.
-                let _ = sender.send(Err(Error::Incomplete)).await;
-                return;
-            };
-            self.log_resumed(&next, &splitter);
-            upstream = next;
-            wait_until_deadline = false;
-        }
-    }
-
-    /// Looks for an engine to replace an unresponsive one.
-    ///
-    /// The unresponsive engine's stream stays open meanwhile. Data that arrives on it is relayed
-    /// and ends the search.
-    ///
-    /// Returns `None` if another engine took over, and otherwise how the unresponsive engine's
-    /// stream ended. [`End::Unresponsive`] means that this stream has not ended and remains in use.
-    async fn find_replacement(
-        &mut self,
-        upstream: &mut Upstream,
-        splitter: &mut Splitter,
-        sender: &mpsc::Sender<Result<Bytes, Error>>,
-    ) -> Option<End> {
-        let resume_after = splitter.last_id().map(str::to_owned);
-        let received = tokio::select! {
-            () = sender.closed() => return Some(End::ClientDisconnected),
-            received = upstream.exchange.next() => received,
-            next = self.open(resume_after.as_deref()) => {
-                let Ok(next) = next else {
-                    return Some(End::Unresponsive);
-                };
-                self.log_resumed(&next, splitter);
-                splitter.discard_partial();
-                *upstream = next;
-                return None;
-            }
-        };
-        Some(match received {
-            Ok(Some(bytes)) => match splitter.feed(&bytes) {
-                Some(events) if events.is_empty() => End::Unresponsive,
-                Some(events) => match sender.send(Ok(events.into())).await {
-                    Ok(()) => End::Unresponsive,
-                    Err(_) => End::ClientDisconnected,
-                },
-                None => End::Broken(OVERSIZED_EVENT.to_owned()),
-            },
-            Ok(None) if splitter.has_partial() => End::Broken(PARTIAL_EVENT.to_owned()),
-            Ok(None) => End::Complete,
-            Err(failure) => End::Broken(failure.to_string()),
-        })
-    }
-
-    fn log_resumed(&self, next: &Upstream, splitter: &Splitter) {
-        observe::count_interrupted_stream("resumed");
-        log::info!(
-            "event=resumed request={} engine={} events={}",
-            self.accepted.id(),
-            next.engine.name,
-            splitter.events()
-        );
-    }
-
-    /// Relays the events of one engine.
-    ///
-    /// With `wait_until_deadline`, the engine is not timed out before the request's deadline.
-    async fn relay_events(
-        &self,
-        upstream: &mut Upstream,
-        splitter: &mut Splitter,
-        sender: &mpsc::Sender<Result<Bytes, Error>>,
-        wait_until_deadline: bool,
-    ) -> End {
-        let mut started = false;
-        let mut last_event = self.pipeline.clock.now();
-        loop {
-            let remaining = self.accepted.deadline.since(self.pipeline.clock.now());
-            let event_timeout = if wait_until_deadline {
-                remaining
-            } else if started {
-                self.max_pause() + PAUSE_SLACK
-            } else {
-                upstream.placement.plan.first_event * 2 + FIRST_EVENT_SLACK
-            };
-            let next = tokio::select! {
-                next = timeout(event_timeout.min(remaining), upstream.exchange.next()) => next,
-                () = sender.closed() => return End::ClientDisconnected,
-            };
-            let bytes = match next {
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if splitter.has_partial() => {
-                    return End::Broken(PARTIAL_EVENT.to_owned());
-                }
-                Ok(Ok(None)) => return End::Complete,
-                Ok(Err(failure)) => return End::Broken(failure.to_string()),
-                Err(_) if event_timeout >= remaining => return End::Expired,
-                Err(_) => {
-                    self.pipeline.dialer.close_idle(upstream.engine.address);
-                    return End::Unresponsive;
-                }
-            };
-            let Some(events) = splitter.feed(&bytes) else {
-                return End::Broken(OVERSIZED_EVENT.to_owned());
-            };
-            if events.is_empty() {
-                continue;
-            }
-            let now = self.pipeline.clock.now();
-            if started && now.since(last_event) > self.max_pause() {
-                self.log_pause(upstream, now.since(last_event));
-            }
-            last_event = now;
-            if !started {
-                started = true;
-                upstream.placement.finish_prefill();
-                self.log_first_event(upstream.placement.plan.first_event);
-            }
-            if sender.send(Ok(events.into())).await.is_err() {
-                return End::ClientDisconnected;
-            }
-        }
-    }
-
     /// Records an attempt that ran, or may have run, and failed.
     fn record_failure(&mut self, engine: &Entry, observation: Observation, reason: &str) {
         self.log_send(engine, "failed", reason);
@@ -497,25 +296,6 @@
         );
     }
 
-    fn log_first_event(&self, predicted: Duration) {
-        observe::record_first_event(self.prompt_tokens, self.elapsed(), predicted);
-        log::info!(
-            "event=first_event request={} after_ms={}",
-            self.accepted.id(),
-            self.elapsed().as_millis()
-        );
-    }
-
-    fn log_pause(&self, upstream: &Upstream, pause: Duration) {
-        log::info!(
-            "event=long_pause request={} engine={} pause_ms={} allowed_ms={}",
-            self.accepted.id(),
-            upstream.engine.name,
-            pause.as_millis(),
-            self.max_pause().as_millis()
-        );
-    }
-
     fn elapsed(&self) -> Duration {
         self.pipeline.clock.now().since(self.accepted.arrived)
     }
