Give hosts of a first start their share of the retry budget early

Hosts took their share of the floor once all agreed on who they count; one killed host kept all 77 others from agreeing, and until 32 s after the start each host had only the ratio, five retries in 10 s.

Change: in a fleet's first start a host has its share with its first read that is 11 s younger than its announcement, since by then all that started with it are announced. The digests between hosts go.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -7,18 +7,18 @@
 //! - A host that has not read the announcements for [`MAX_READ_AGE`], or has not renewed its own
 //!   for [`LEASE`], has no share.
 //! - A new incarnation has no share until all other hosts must have read its announcement or have
-//!   lost theirs, and until what they used before has left the window of the limit. If all hosts
-//!   report that they count the same ones, only the second condition is left.
+//!   lost theirs, and until what they used before has left the window of the limit.
 //! - A host is counted until its lease has ended and its uses have left the window.
 //!
 //! When the whole fleet starts for the first time, there are no earlier uses. Each host that has
-//! announced itself may make [`STARTING_USES`] at once, which the later shares leave room for.
+//! announced itself may make [`STARTING_USES`] at once, which the later shares leave room for, and
+//! has its share as soon as it must have read the announcements of all hosts that started with it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::name::{Host, rendezvous};
+use crate::name::Host;
 
 /// Time between two reads of the announcements.
 pub const READ_INTERVAL: Duration = Duration::from_secs(10);
@@ -32,7 +32,8 @@
 /// Uses of the limit by a host of a fleet that starts for the first time. Each share is smaller by
 /// this number.
 pub const STARTING_USES: f64 = 2.0;
-/// Time after the start of a host in which it may make its [`STARTING_USES`].
+/// Time after the start of a host in which it may make its [`STARTING_USES`]. A host that announces
+/// itself later joins like one of a later start.
 const STARTING_PERIOD: Duration = Duration::from_secs(10);
 /// Time after a host's announcement at which all hosts that started with it, and may make their
 /// [`STARTING_USES`], have announced themselves. Hosts of a fleet start within a second.
@@ -61,13 +62,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Member {
     incarnation: u64,
-    /// Part of this incarnation in the digest.
-    weight: u64,
     renewal: u64,
     /// Time at which this renewal was first read, or of the last datagram if that is later.
     seen_at: Instant,
-    /// Digest of the hosts that this member counts, as it last reported.
-    counted: Option<u64>,
 }
 
 /// The hosts that share a limit, as one host counts them.
@@ -87,8 +84,8 @@
     /// Time of the first announcement under the current lease.
     announced_at: Option<Instant>,
     renewed_at: Option<Instant>,
-    /// Since when all members report that they count the same hosts.
-    agreed_since: Option<Instant>,
+    /// Whether this host announced itself in time for a fleet's first start.
+    started_together: bool,
     /// Whether the store has lost announcements, so that there may be hosts that nobody counts.
     store_restored: bool,
 }
@@ -108,7 +105,7 @@
             read_at: None,
             announced_at: None,
             renewed_at: None,
-            agreed_since: None,
+            started_together: false,
             store_restored: false,
         }
     }
@@ -130,10 +127,7 @@
         let holds_lease = self.renewed_at.is_some_and(|at| now.since(at) < LEASE);
         if !holds_lease {
             self.announced_at = Some(now);
-            self.agreed_since = None;
-            for member in self.members.values_mut() {
-                member.counted = None;
-            }
+            self.started_together = self.starting_until.is_some_and(|until| now < until);
         }
         self.renewed_at = Some(sent_at);
     }
@@ -164,7 +158,6 @@
             }
         }
         self.read_at = Some(sent_at);
-        self.update_agreement(now);
         listed
     }
 
@@ -176,15 +169,10 @@
         if unchanged {
             return;
         }
-        let counted = known
-            .filter(|member| member.incarnation == announcement.incarnation)
-            .and_then(|member| member.counted);
         let member = Member {
             incarnation: announcement.incarnation,
-            weight: weight(&announcement.host, announcement.incarnation),
             renewal: announcement.renewal,
             seen_at: now,
-            counted,
         };
         self.members.insert(announcement.host.clone(), member);
     }
@@ -199,43 +187,20 @@
             _ => {
                 let member = Member {
                     incarnation,
-                    weight: weight(host, incarnation),
                     renewal: 0,
                     seen_at: now,
-                    counted: None,
                 };
                 self.members.insert(host.clone(), member);
-                self.update_agreement(now);
             }
         }
     }
 
-    /// Records which hosts another host counts, as a digest from [`Fleet::digest`].
-    pub fn record_counted(&mut self, host: &Host, digest: u64, now: Instant) {
-        // Hosts repeat their digest in every snapshot, and it rarely changes.
-        if let Some(member) = self.members.get_mut(host)
-            && member.counted != Some(digest)
-        {
-            member.counted = Some(digest);
-            self.update_agreement(now);
-        }
-    }
-
     /// Records that the store has returned from an older copy. Hosts whose announcements it lost
     /// may be unknown to all others until they announce themselves again.
     pub const fn record_restored(&mut self) {
         self.store_restored = true;
     }
 
-    fn update_agreement(&mut self, now: Instant) {
-        let own = Some(self.digest(now));
-        if self.counted(now).all(|member| member.counted == own) {
-            self.agreed_since.get_or_insert(now);
-        } else {
-            self.agreed_since = None;
-        }
-    }
-
     /// Returns the other hosts that may have a share, or may have used one within the window.
     fn counted(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let longest = LEASE + self.window;
@@ -243,15 +208,6 @@
         members.filter(move |member| now.since(member.seen_at) < longest)
     }
 
-    /// Returns a digest of the hosts that this one counts, itself included, and their incarnations.
-    #[must_use]
-    pub fn digest(&self, now: Instant) -> u64 {
-        let own = weight(&self.own, self.incarnation);
-        // The sum does not depend on the order of the hosts.
-        let others = self.counted(now).map(|member| member.weight);
-        others.fold(own, u64::wrapping_add)
-    }
-
     /// Returns how many uses of a limit this host may make within a window, if all hosts together
     /// may make `limit`.
     #[must_use]
@@ -274,14 +230,10 @@
         self.renewed_at.filter(|at| now.since(*at) < LEASE)?;
         let announced_at = self.announced_at.filter(|at| *at <= read_at)?;
         let joined = now.since(announced_at) >= MAX_READ_AGE + self.window;
-        let agreed_since = self.agreed_since.filter(|_| !self.store_restored);
-        let agreed = read_at.since(announced_at) >= STARTED_TOGETHER
-            && agreed_since.is_some_and(|at| now.since(at) >= self.window);
+        let knows_all = self.started_together
+            && !self.store_restored
+            && read_at.since(announced_at) >= STARTED_TOGETHER;
         let count = u32::try_from(self.counted(now).count() + 1).unwrap_or(u32::MAX);
-        (joined || agreed).then_some(count)
+        (joined || knows_all).then_some(count)
     }
 }
-
-fn weight(host: &Host, incarnation: u64) -> u64 {
-    rendezvous(host.as_str(), &incarnation.to_string())
-}
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -168,8 +168,7 @@
                 self.drop_silent_peers();
                 self.placer.drop_expired();
                 self.placer.take_updates();
-                let mut placements = self.placer.placements();
-                placements.push(Item::Counted(self.fleet.lock().digest(self.clock.now())));
+                let placements = self.placer.placements();
                 let frames =
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
                 self.send_items(snapshot, Scope::Snapshot { frames }, placements)
@@ -266,7 +265,6 @@
         for item in &frame.items {
             match item {
                 Item::Leaving(identity) => self.notices.apply_forwarded(Identity(*identity)),
-                Item::Counted(digest) => self.fleet.lock().record_counted(&host, *digest, now),
                 Item::StoreRead(read) => self.inboxes.push(read.clone(), now),
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -397,7 +397,7 @@
             Item::Prefilled(sequence) => pool.finish_prefill(id(*sequence), now),
             Item::Done(sequence) => pool.release(id(*sequence)),
             // Not placements.
-            Item::Leaving(_) | Item::Counted(_) | Item::StoreRead(_) => {}
+            Item::Leaving(_) | Item::StoreRead(_) => {}
         }
     }
 
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -49,8 +49,6 @@
     Done(u32),
     /// The sender has learnt from the endpoint with this identity that it leaves.
     Leaving(u64),
-    /// Digest of the hosts that the sender counts.
-    Counted(u64),
     /// The sender has read a topic of the store.
     StoreRead(Read),
 }
