--- a/crates/kernel/tests/catalogue.rs
+++ b/crates/kernel/tests/catalogue.rs
@@ -159,3 +159,22 @@
         .collect();
     assert_eq!(names, ["new"]);
 }
+
+/// An endpoint announces in its responses that it leaves while its entry still says ready.
+#[test]
+fn an_endpoint_that_announces_that_it_leaves_stays_out_of_use() {
+    let service = Service::from("desk");
+    let mut directory = Directory::new(Duration::from_millis(3_600));
+    let leaving = entry("i-1", 1, State::Ready);
+    directory.put(leaving.clone(), at(0));
+    assert!(directory.mark_leaving(leaving.identity(), at(10)));
+    assert!(!directory.mark_leaving(leaving.identity(), at(20)));
+    directory.put(leaving.clone(), at(30));
+    assert_eq!(directory.find_ready(&service, leaving.identity()), None);
+    directory.store_recovered(at(40));
+    assert!(directory.remove(&leaving.name, at(50)), "it gets no grace");
+    directory.put(leaving, at(60));
+    assert_eq!(directory.ready(&service).count(), 0);
+    directory.put(entry("i-1", 2, State::Ready), at(70));
+    assert_eq!(directory.ready(&service).count(), 1);
+}
--- a/crates/kernel/tests/place.rs
+++ b/crates/kernel/tests/place.rs
@@ -6,7 +6,7 @@
 
 use filbertstage_kernel::catalogue::{Entry, Identity};
 use filbertstage_kernel::outlier::Observation;
-use filbertstage_kernel::place::{Decision, Load, LoadId, Pool, Request, Speed};
+use filbertstage_kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use filbertstage_kernel::prelude::*;
 use rstest::rstest;
 use support::*;
@@ -295,3 +295,60 @@
         "retry delays differ: {retry_after_ms:?}"
     );
 }
+
+/// Engines that reject requests under a burst name the time for which they want none. They count as
+/// full until then, as primary and as helper.
+#[test]
+fn engines_that_want_no_requests_get_none() {
+    let mut pool = pool(12);
+    let resting: Vec<_> = entries(12)[..6].iter().map(Entry::identity).collect();
+    for engine in &resting {
+        assert!(pool.back_off(*engine, Duration::from_secs(3), NOW));
+    }
+    let rests = |plan: &Plan| {
+        plan.loads
+            .iter()
+            .any(|(engine, _)| resting.contains(engine))
+    };
+    for _ in 0..20 {
+        if let Some((_, plan)) = start(&mut pool, short(NOW), NOW) {
+            assert!(!rests(&plan));
+        }
+    }
+    if let Some((_, plan)) = start(&mut pool, long(210_000, NOW), NOW) {
+        assert!(!rests(&plan));
+    }
+    let later = NOW + Duration::from_millis(3_100);
+    assert_eq!(pool.backoff(resting[0], later), None);
+}
+
+/// A success of a request that was sent before the rejection does not end the time.
+#[test]
+fn a_success_does_not_end_a_backoff() {
+    let mut pool = pool(1);
+    let engine = entries(1)[0].identity();
+    pool.back_off(engine, Duration::from_secs(2), NOW);
+    pool.record(engine, Observation::Succeeded, NOW);
+    assert_eq!(pool.backoff(engine, NOW), Some(Duration::from_secs(2)));
+    pool.back_off(engine, Duration::from_millis(100), NOW);
+    assert_eq!(pool.backoff(engine, NOW), Some(Duration::from_secs(2)));
+}
+
+/// If every engine wants no requests, clients are told at once when the first one does again.
+#[test]
+fn clients_are_refused_with_the_shortest_backoff() {
+    let mut pool = pool(3);
+    for (entry, seconds) in entries(3).iter().zip([5, 2, 9]) {
+        pool.back_off(entry.identity(), Duration::from_secs(seconds), NOW);
+    }
+    let ticket = pool.submit(short(NOW), NOW);
+    let decisions = pool.assign(NOW);
+    let refused = Decision::Refuse(Duration::from_secs(2));
+    assert_eq!(decisions, [(ticket, refused)]);
+    let soon = NOW + Duration::from_millis(1_800);
+    pool.submit(short(soon), soon);
+    assert!(
+        pool.assign(soon).is_empty(),
+        "200 ms are within the objective"
+    );
+}
