Log the segments of prompts, completed runs, and whether a broken run's engine is gone

Placed runs now name the shared segments of the prompt, completed runs are logged, and a run that breaks with two events or fewer says whether its engine still accepts connections. No decision changes.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod retry;
 pub mod routing;
 pub mod schedule;
+pub mod segment;
 pub mod share;
 pub mod turn;
 
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -8,6 +8,7 @@
 use kernel::catalogue::{Configuration, Entry};
 use kernel::fleet::Announcement;
 use kernel::name::{Domain, Endpoint, Workspace};
+use kernel::segment::Segment;
 use quick_error::quick_error;
 
 quick_error! {
@@ -40,6 +41,8 @@
     pub key: Option<String>,
     /// Number of prompt tokens and maximum number of answer tokens.
     pub tokens: Option<(u64, u64)>,
+    /// Segments of the prompt that other requests may share, in the order of the prompt.
+    pub segments: Vec<Segment>,
     /// Identifier of the event after which a resumed stream continues.
     pub resume_after: Option<String>,
 }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -11,6 +11,7 @@
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service, Workspace};
+use kernel::segment;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 
@@ -99,6 +100,11 @@
         );
     }
 
+    /// The shared segments of the prompt for logs, or `-` if there are none.
+    pub fn segments(&self) -> String {
+        segment::format_list(&self.metadata.segments)
+    }
+
     /// How long the client has waited before this client attempt.
     ///
     /// Clients start with the route's timeout and send the remaining time with each attempt. A
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -17,6 +17,9 @@
 /// after 2 s.
 const PAUSE_SLACK: Duration = Duration::from_millis(1_200);
 
+/// Number of events up to which a run has only just begun its answer.
+const EVENTS_AT_START: u64 = 2;
+
 /// Logged reason for a stream that ended inside an event.
 const PARTIAL_EVENT: &str = "the stream ended inside an event";
 /// Logged reason for a stream with an event above the size limit.
@@ -69,6 +72,7 @@
             let reason = match end {
                 End::Complete => {
                     self.record_observation(&upstream.engine, Observation::Succeeded);
+                    self.log_completed(&upstream, &splitter);
                     upstream.exchange.finish();
                     return;
                 }
@@ -77,6 +81,7 @@
                 End::Broken(reason) => reason,
             };
             splitter.discard_partial();
+            self.log_broken(&upstream, &splitter).await;
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
             self.record_failure(&upstream.engine, Observation::Failed, &reason);
             drop(upstream);
@@ -105,6 +110,7 @@
             };
             self.log_resumed(&next, &splitter);
             upstream = next;
+            upstream.events_before = splitter.events();
             wait_until_deadline = false;
         }
     }
@@ -159,9 +165,38 @@
         self.log_resumed(&next, splitter);
         splitter.discard_partial();
         *upstream = next;
+        upstream.events_before = splitter.events();
         None
     }
 
+    fn log_completed(&self, upstream: &Upstream, splitter: &Splitter) {
+        log::info!(
+            "event=completed request={} engine={} events={}",
+            self.accepted.id(),
+            upstream.engine.name,
+            splitter.events() - upstream.events_before
+        );
+    }
+
+    /// Logs what tells a crash of the engine, and which run may have caused it, from a broken
+    /// connection: how far the run was, and whether the engine still accepts connections.
+    async fn log_broken(&self, upstream: &Upstream, splitter: &Splitter) {
+        let events = splitter.events() - upstream.events_before;
+        let reachability = if events <= EVENTS_AT_START {
+            let probed = self.pipeline.dialer.probe(upstream.engine.address).await;
+            format!("{probed:?}")
+        } else {
+            "-".to_owned()
+        };
+        log::info!(
+            "event=run_broken request={} engine={} events={events} began_ms={} engine_connections={reachability} segments={}",
+            self.accepted.id(),
+            upstream.engine.name,
+            self.pipeline.clock.now().since(upstream.began).as_millis(),
+            self.accepted.segments()
+        );
+    }
+
     fn log_resumed(&self, next: &Upstream, splitter: &Splitter) {
         observe::count_interrupted_stream("resumed");
         log::info!(
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Response, response};
 use kernel::catalogue::{Entry, Profile};
+use kernel::clock::Instant;
 use kernel::outlier::Observation;
 use kernel::place::Request;
 use tokio::sync::mpsc;
@@ -40,6 +41,10 @@
     exchange: Exchange,
     placement: Placement,
     engine: Entry,
+    /// Time at which the head of the response arrived: the engine has begun the answer.
+    began: Instant,
+    /// Number of events that earlier engines delivered.
+    events_before: u64,
     _reservations: Reservations,
 }
 
@@ -264,6 +269,8 @@
             exchange,
             placement,
             engine,
+            began: self.pipeline.clock.now(),
+            events_before: 0,
             _reservations: reservations,
         })
     }
@@ -286,10 +293,11 @@
     fn log_placed(&self, engine: &Entry, placement: &Placement) {
         observe::record_placement(self.elapsed(), placement.plan.helpers.len());
         log::info!(
-            "event=placed request={} engine={} prompt={} helpers={} waited_ms={} first_event_ms={}",
+            "event=placed request={} engine={} prompt={} segments={} helpers={} waited_ms={} first_event_ms={}",
             self.accepted.id(),
             engine.name,
             self.prompt_tokens,
+            self.accepted.segments(),
             placement.plan.helpers.len(),
             self.elapsed().as_millis(),
             placement.plan.first_event.as_millis()
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -4,6 +4,7 @@
 //! connection; dropping an exchange early closes the connection, which also cancels the request.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,8 @@
 
 /// Timeout for opening a connection. TCP retransmits a lost SYN packet only after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for a connection that only tests whether the peer accepts any.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
@@ -52,6 +55,17 @@
     }
 }
 
+/// Whether a peer accepts new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reachability {
+    /// A connection was opened.
+    Accepts,
+    /// The peer's host is up, but nothing listens at the address.
+    Refuses,
+    /// Nothing was heard in time.
+    Silent,
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// An open connection that waits for its next request.
@@ -185,6 +199,17 @@
         }
     }
 
+    /// Tries to open a connection to `address`, which is closed again.
+    pub async fn probe(&self, address: SocketAddr) -> Reachability {
+        match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => Reachability::Accepts,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Reachability::Refuses
+            }
+            Ok(Err(_)) | Err(_) => Reachability::Silent,
+        }
+    }
+
     /// Closes idle connections that have expired, and drops those that the peer closed.
     pub fn close_expired(&self, now: Instant) {
         self.idle.lock().retain(|_, kept| {
