--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use relay::body::{Body, Error};
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
 use super::http1::{Handler, Request, json_response};
@@ -65,6 +65,8 @@
     commands: usize,
     rejections: usize,
     leaving: bool,
+    /// Segment of prompts that crashes the endpoint when it begins the answer.
+    lethal_segment: Option<&'static str>,
     command_delay: Duration,
     last_command_at: Option<Instant>,
     longest_command_gap: Option<Duration>,
@@ -77,6 +79,7 @@
     /// Factor by which the engine is faster than the published formula.
     scale: u32,
     state: Mutex<State>,
+    crashed: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -88,6 +91,7 @@
             service: "writer",
             scale: scale.max(1),
             state: Mutex::default(),
+            crashed: watch::Sender::new(false),
         }
     }
 
@@ -125,6 +129,33 @@
         self.state.lock().leaving = leaving;
     }
 
+    /// Makes the endpoint crash whenever it begins an answer to a prompt with this segment, which is
+    /// not the last one.
+    pub fn crash_on_segment(&self, id: &'static str) {
+        self.state.lock().lethal_segment = Some(id);
+    }
+
+    /// Crashes the endpoint: its connections break, and new ones are refused.
+    pub fn crash_now(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    /// Returns whether the endpoint has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
+    fn is_lethal(&self, request: &Request) -> bool {
+        let Some(lethal) = self.state.lock().lethal_segment else {
+            return false;
+        };
+        let parts = request.header(&names::PROMPT_PARTS).unwrap_or_default();
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| id == lethal)
+    }
+
     /// Returns the number of requests that the endpoint has rejected.
     #[must_use]
     pub fn rejections(&self) -> usize {
@@ -232,6 +263,7 @@
         let (prompt_tokens, answer_tokens): (u64, u64) = tokens.unwrap_or((0, EVENT_TOKENS));
         let helpers = request.header(&names::HELPERS);
         let engines = helpers.map_or(1, |list| list.split(',').count() as u64 + 1);
+        let lethal = self.is_lethal(request);
         let (sender, receiver) = mpsc::channel(1);
         let endpoint = Arc::clone(self);
         tokio::spawn(async move {
@@ -242,6 +274,12 @@
             for event in last_event + 1..=answer_tokens.div_ceil(EVENT_TOKENS) {
                 sleep(EVENT_INTERVAL / endpoint.scale).await;
                 let sent = event - last_event - 1;
+                if lethal {
+                    // The client may have disconnected.
+                    let _ = sender.send(Ok(format!("id: {event}\n").into())).await;
+                    sleep(EVENT_INTERVAL / endpoint.scale).await;
+                    return endpoint.crash_now();
+                }
                 match fault {
                     Some(Fault::BreakAfter(events)) if events == sent => {
                         let partial_event = format!("id: {event}\ndata: pie");
@@ -349,6 +387,12 @@
 
 #[async_trait]
 impl Handler for Endpoint {
+    async fn crash(&self) {
+        let mut crashed = self.crashed.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = crashed.wait_for(|crashed| *crashed).await;
+    }
+
     async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
         let mut response = Arc::clone(&self).respond(request).await?;
         if self.state.lock().leaving {
--- a/crates/fakes/src/site/http1.rs
+++ b/crates/fakes/src/site/http1.rs
@@ -40,6 +40,11 @@
 pub trait Handler: Send + Sync + 'static {
     /// Responds to a request. `None` closes the connection without a response.
     async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>>;
+
+    /// Returns when the fake crashes: its connections break, and new ones are refused.
+    async fn crash(&self) {
+        std::future::pending::<()>().await;
+    }
 }
 
 /// The running server of a fake. Dropping it breaks all its connections, as a crash does.
@@ -68,7 +73,14 @@
 
 async fn accept<S: Handler>(listener: TcpListener, state: Arc<S>) {
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.crash() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
         let state = Arc::clone(&state);
         connections.spawn(async move {
             let service = service_fn(move |request| serve(Arc::clone(&state), request));
