Quarantine segments of prompts that crash engines

Cause: whatever failed was held against the engine alone. A request whose engine crashed was resumed at the next one, and the next request with the same segment of its prompt was sent as if nothing had happened, from any host: a query of death with nothing that remembers it.

Runs whose engine is gone soon after they began now accuse the shared segments of their prompt; a complete answer that began later clears them. Segments that explain crashes of several engines at different times are quarantined: requests with them are refused before they are placed, sent or resumed, and from time to time one of them tests the segment. Hosts exchange the evidence at once and repeat it, and a host that starts or was not heard for a while gets all of it, so that no host crashes engines to learn the same. The verdict depends on the evidence alone, so no host owns it. Operators list and clear the segments on the admin listener.

--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -113,6 +113,12 @@
         live.map(|(host, contact)| (host, contact.address))
     }
 
+    /// Returns the address of a host.
+    #[must_use]
+    pub fn address(&self, host: &Host) -> Option<SocketAddr> {
+        self.hosts.get(host).map(|contact| contact.address)
+    }
+
     /// Returns the addresses to which an update is sent.
     pub fn update_targets(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let contacts = self.hosts.values();
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod outlier;
 pub mod place;
 pub mod position;
+pub mod quarantine;
 pub mod reconcile;
 pub mod request;
 pub mod resume;
--- /dev/null
+++ b/crates/kernel/tests/quarantine.rs
@@ -0,0 +1,245 @@
+//! Quarantine of segments that crash engines.
+
+use std::time::Duration;
+
+use filbertstage_kernel::catalogue::Identity;
+use filbertstage_kernel::place::LoadId;
+use filbertstage_kernel::prelude::*;
+use filbertstage_kernel::quarantine::{Crash, Evidence, Quarantine, Verdict};
+use filbertstage_kernel::segment::Segment;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// A segment that all requests share, as the first one of a prompt.
+const COMMON: Segment = Segment(0x5a);
+/// A segment that crashes engines.
+const LETHAL: Segment = Segment(0xbad);
+const SOUND: Segment = Segment(0x600d);
+
+const fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+/// The crash of engine `engine` at `millis`, 100 ms after it began an answer.
+fn crash(engine: u64, millis: u64, segments: &[Segment]) -> Crash {
+    Crash {
+        run: LoadId {
+            holder: 1,
+            sequence: u32::try_from(engine).unwrap(),
+        },
+        engine: Identity(engine),
+        began: at(millis - 100),
+        ended: at(millis),
+        segments: segments.to_vec(),
+    }
+}
+
+fn crashed(crashes: &[(u64, Vec<Segment>)]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (engine, (millis, segments)) in (1..).zip(crashes) {
+        quarantine.record_crash(crash(engine, *millis, segments), at(*millis));
+    }
+    quarantine
+}
+
+fn quarantined(quarantine: &Quarantine) -> Vec<Segment> {
+    quarantine
+        .quarantined()
+        .map(|(segment, _)| segment)
+        .collect()
+}
+
+fn verdict(quarantine: &mut Quarantine, segments: &[Segment], millis: u64) -> Verdict {
+    quarantine.admit(segments, at(millis)).0
+}
+
+/// Guards against one lethal segment that crashes engine after engine (BUDGET), and against the
+/// refusal of sound requests that share its other segments (LOST).
+#[test]
+fn two_crashes_quarantine_only_the_segment_that_explains_them() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_completion(&[COMMON, SOUND], at(0), at(500));
+    for (engine, millis) in [(1, 1_000), (2, 1_300)] {
+        quarantine.record_crash(crash(engine, millis, &[COMMON, LETHAL]), at(millis));
+    }
+    assert_eq!(quarantined(&quarantine), [LETHAL]);
+    let refused = verdict(&mut quarantine, &[COMMON, LETHAL], 1_400);
+    assert!(matches!(refused, Verdict::Refused(_)), "{refused:?}");
+    let sound = verdict(&mut quarantine, &[COMMON, SOUND], 1_400);
+    assert_eq!(sound, Verdict::Admitted);
+}
+
+#[rstest]
+#[case::one_crash(vec![(1_000, vec![COMMON, LETHAL])], vec![])]
+#[case::rack_lost(vec![(1_000, vec![COMMON]), (1_010, vec![COMMON]), (1_020, vec![COMMON]), (1_030, vec![COMMON])], vec![])]
+#[case::nothing_in_common(vec![(1_000, vec![LETHAL]), (1_300, vec![SOUND])], vec![])]
+#[case::later_segment_goes_first(vec![(1_000, vec![COMMON, LETHAL]), (1_300, vec![COMMON, LETHAL])], vec![LETHAL])]
+#[case::first_segment_is_lethal(
+    vec![(1_000, vec![COMMON, LETHAL]), (1_300, vec![COMMON, SOUND])],
+    vec![COMMON]
+)]
+#[case::two_lethal_segments(
+    vec![(1_000, vec![COMMON, LETHAL]), (1_300, vec![COMMON, LETHAL]), (1_600, vec![COMMON, LETHAL]),
+      (2_000, vec![Segment(1), SOUND]), (2_300, vec![Segment(2), SOUND])],
+    vec![LETHAL, SOUND]
+)]
+fn crashes_quarantine_what_explains_them(
+    #[case] crashes: Vec<(u64, Vec<Segment>)>,
+    #[case] expected: Vec<Segment>,
+) {
+    assert_eq!(quarantined(&crashed(&crashes)), expected);
+}
+
+/// The first segment was completed recently, so a third crash is needed: engines may crash for
+/// another reason while a popular segment is in use everywhere.
+#[test]
+fn recently_completed_segment_needs_a_third_crash() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_completion(&[COMMON], at(0), at(800));
+    for (engine, millis) in [(1, 1_000), (2, 1_300)] {
+        quarantine.record_crash(crash(engine, millis, &[COMMON]), at(millis));
+    }
+    assert_eq!(quarantined(&quarantine), []);
+    quarantine.record_crash(crash(3, 1_600, &[COMMON]), at(1_600));
+    assert_eq!(quarantined(&quarantine), [COMMON]);
+}
+
+/// An answer that began before a crash does not show that the segment was sound at the crash.
+#[rstest]
+#[case::began_earlier(850, true)]
+#[case::began_later(1_250, false)]
+fn only_answers_that_began_later_clear_a_segment(#[case] began: u64, #[case] held: bool) {
+    let mut quarantine = crashed(&[(1_000, vec![LETHAL]), (1_300, vec![LETHAL])]);
+    quarantine.record_completion(&[LETHAL], at(began), at(2_000));
+    assert_eq!(
+        quarantined(&quarantine),
+        if held { vec![LETHAL] } else { vec![] }
+    );
+}
+
+#[test]
+fn one_probe_tests_the_segment_and_a_crash_doubles_the_time() {
+    let mut quarantine = crashed(&[(1_000, vec![LETHAL]), (1_300, vec![LETHAL])]);
+    assert_eq!(
+        verdict(&mut quarantine, &[LETHAL], 6_300),
+        Verdict::Refused(Duration::from_secs(5))
+    );
+    assert_eq!(verdict(&mut quarantine, &[LETHAL], 11_400), Verdict::Probe);
+    let refused = verdict(&mut quarantine, &[LETHAL], 11_400);
+    assert!(
+        matches!(refused, Verdict::Refused(_)),
+        "one probe at a time: {refused:?}"
+    );
+    let check = |quarantine: &Quarantine, millis| {
+        quarantine.recheck(&[LETHAL], Verdict::Probe, at(11_400), at(millis))
+    };
+    assert_eq!(check(&quarantine, 11_450), None);
+    quarantine.record_crash(crash(3, 11_600, &[LETHAL]), at(11_600));
+    assert_eq!(check(&quarantine, 11_600), Some(Duration::from_secs(20)));
+    assert_eq!(verdict(&mut quarantine, &[LETHAL], 31_600), Verdict::Probe);
+    quarantine.record_completion(&[LETHAL], at(31_800), at(33_000));
+    assert_eq!(
+        verdict(&mut quarantine, &[LETHAL], 33_000),
+        Verdict::Admitted
+    );
+}
+
+/// A request that waits is refused when its segment is quarantined, one that is under way to an
+/// engine as well.
+#[test]
+fn admitted_request_is_refused_once_its_segment_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(verdict(&mut quarantine, &[LETHAL], 900), Verdict::Admitted);
+    for (engine, millis) in [(1, 1_000), (2, 1_300)] {
+        quarantine.record_crash(crash(engine, millis, &[LETHAL]), at(millis));
+    }
+    let refused = quarantine.recheck(&[LETHAL], Verdict::Admitted, at(900), at(1_300));
+    assert_eq!(refused, Some(Duration::from_secs(10)));
+}
+
+/// A caller that invents segments and even crashes engines with them pushes out no quarantine.
+#[test]
+fn invented_segments_do_not_push_others_out() {
+    let mut quarantine = crashed(&[(1_000, vec![LETHAL]), (1_300, vec![LETHAL])]);
+    for number in 1_000..2_500 {
+        let invented: Vec<_> = (0..40).map(|part| Segment(number * 100 + part)).collect();
+        quarantine.record_completion(&invented, at(1_400), at(1_500));
+        quarantine.record_crash(crash(number, 2_000 + number, &invented), at(2_000 + number));
+    }
+    assert_eq!(quarantined(&quarantine), [LETHAL]);
+    assert!(quarantine.evidence().len() < 200);
+}
+
+#[test]
+fn operator_clears_a_segment() {
+    let mut quarantine = crashed(&[
+        (1_000, vec![COMMON, LETHAL]),
+        (1_300, vec![COMMON, LETHAL]),
+        (1_600, vec![COMMON, LETHAL]),
+    ]);
+    quarantine.dismiss(LETHAL);
+    assert_eq!(quarantined(&quarantine), []);
+    assert_eq!(
+        verdict(&mut quarantine, &[LETHAL], 1_400),
+        Verdict::Admitted
+    );
+    assert!(quarantine.dismiss(LETHAL).is_empty());
+}
+
+fn arbitrary_evidence() -> impl Strategy<Value = Evidence> {
+    let run = |sequence| LoadId {
+        holder: 1,
+        sequence,
+    };
+    let segment = (1_u64..5).prop_map(Segment);
+    let segments = proptest::collection::btree_set(1_u64..5, 1..4);
+    prop_oneof![
+        (1_u32..12, 1_000_u64..4_000, segments).prop_map(|(number, millis, segments)| {
+            // A run has one engine, one time and one prompt.
+            let millis = millis / 12 * 12 + u64::from(number);
+            let segments: Vec<_> = segments.into_iter().map(Segment).collect();
+            Evidence::Crash(crash(u64::from(number), millis, &segments))
+        }),
+        (1_u32..12, segment)
+            .prop_map(move |(number, segment)| Evidence::Cleared(run(number), segment)),
+    ]
+}
+
+proptest! {
+    /// Hosts get the evidence of others in any order, more than once, and in two steps after a
+    /// partition.
+    #[test]
+    fn verdict_depends_on_the_evidence_and_not_on_its_order(
+        evidence in proptest::collection::vec(arbitrary_evidence(), 0..30),
+        seed in any::<u64>(),
+    ) {
+        let mut seen = std::collections::BTreeSet::new();
+        let (crashes, cleared): (Vec<_>, Vec<_>) =
+            evidence.into_iter().partition(|item| matches!(item, Evidence::Crash(_)));
+        let crashes: Vec<_> = crashes
+            .into_iter()
+            .filter(|item| matches!(item, Evidence::Crash(crash) if seen.insert(crash.run)))
+            .collect();
+        let apply = |items: &[Evidence]| {
+            let mut quarantine = Quarantine::default();
+            for item in items.iter().chain(&cleared).chain(&cleared) {
+                quarantine.apply(item.clone(), at(5_000));
+            }
+            quarantine
+        };
+        let mut shuffled = crashes.clone();
+        let count = shuffled.len().max(1) as u64;
+        for index in 0..shuffled.len() {
+            let other = usize::try_from(seed.rotate_left(u32::try_from(index).unwrap()) % count);
+            shuffled.swap(index, other.unwrap());
+        }
+        let one = apply(&crashes);
+        let other = apply(&shuffled);
+        prop_assert_eq!(quarantined(&one), quarantined(&other));
+        let mut synced = Quarantine::default();
+        for item in one.evidence() {
+            synced.apply(item, at(6_000));
+        }
+        prop_assert_eq!(quarantined(&one), quarantined(&synced));
+    }
+}
--- a/crates/relay/src/admin.rs
+++ b/crates/relay/src/admin.rs
@@ -1,10 +1,11 @@
-//! Serves the load balancer's readiness probes and requests for metrics.
+//! Serves the load balancer's readiness probes and the requests of operators.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Response;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -21,7 +22,7 @@
 /// Sends the response of `respond` to each request on `listener`. Never returns.
 pub(crate) async fn serve(
     listener: TcpListener,
-    respond: impl Fn() -> Response<Body> + Send + Sync + 'static,
+    respond: impl Fn(&Request<Incoming>) -> Response<Body> + Send + Sync + 'static,
 ) {
     let respond = Arc::new(respond);
     loop {
@@ -31,8 +32,8 @@
         };
         let respond = Arc::clone(&respond);
         tokio::spawn(async move {
-            let service = service_fn(move |_| {
-                let response = respond();
+            let service = service_fn(move |request| {
+                let response = respond(&request);
                 async move { Ok::<_, Infallible>(response) }
             });
             let mut builder = Builder::new();
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -18,6 +18,8 @@
 pub enum GiveUp {
     /// No endpoint can run the request now; the client may retry after this time.
     Refused(Duration),
+    /// A segment of the prompt is quarantined; the client may retry after this time.
+    Quarantined(Duration),
     /// The deadline of the request has passed.
     Expired,
     /// No further attempt is allowed, or no endpoint is left to try.
@@ -30,6 +32,9 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Refused(_) => "no endpoint can take the request now: come back later",
+            Self::Quarantined(_) => {
+                "engines crashed on a part of this prompt: change the prompt, or come back later"
+            }
             Self::Expired => "the request's time has passed",
             Self::Exhausted => "every allowed attempt failed",
         }
@@ -135,7 +140,7 @@
         match (self.maybe_ran, give_up) {
             (true, GiveUp::Expired) => error_response(StatusCode::GATEWAY_TIMEOUT, None, reason),
             (true, _) => error_response(StatusCode::BAD_GATEWAY, None, reason),
-            (false, GiveUp::Refused(retry_after)) => {
+            (false, GiveUp::Refused(retry_after) | GiveUp::Quarantined(retry_after)) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), reason)
             }
             (false, _) => {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,5 +1,6 @@
 //! Exchanges placements with the other hosts over UDP.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -21,6 +22,7 @@
 use crate::follow::PeerVersion;
 use crate::notice::Notices;
 use crate::placer::Placer;
+use crate::quarantine::Quarantine;
 use crate::registry::Registry;
 use crate::report::Inboxes;
 
@@ -30,12 +32,28 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of items of one datagram, so that it fits into one packet.
 const MAX_ITEMS: usize = 50;
+/// Maximum number of items of one datagram with evidence, which are larger.
+const MAX_EVIDENCE_ITEMS: usize = 16;
+/// Maximum number of requests for the evidence of a host that has just been heard again.
+const MAX_EVIDENCE_REQUESTS: u8 = 6;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Key of the tag on each datagram. It is not secret, because the platform gives hosts no shared
 /// secret. The tag detects datagrams that were damaged, but not forged ones.
 const TAG_KEY: &[u8] = b"filbertstage";
 
+/// What is recorded of the other hosts' reports, beside their placements.
+pub struct Records {
+    /// What endpoints announce about themselves.
+    pub notices: Arc<Notices>,
+    /// The hosts that share a limit.
+    pub fleet: Arc<Mutex<Fleet>>,
+    /// The newest configuration that another host uses.
+    pub peer_version: Arc<PeerVersion>,
+    /// Segments that crash engines.
+    pub quarantine: Arc<Quarantine>,
+}
+
 /// The other hosts and when each of them last sent a datagram.
 pub struct Hosts {
     own: Host,
@@ -46,25 +64,22 @@
     clock: Clock,
     registry: Arc<Registry>,
     placer: Arc<Placer>,
-    notices: Arc<Notices>,
-    fleet: Arc<Mutex<Fleet>>,
+    records: Records,
     contacts: Mutex<Contacts>,
-    peer_version: Arc<PeerVersion>,
+    /// Hosts whose evidence is missing, with the number of requests for it that are left.
+    unsynced: Mutex<BTreeMap<Host, u8>>,
     inboxes: Arc<Inboxes>,
 }
 
 impl Hosts {
     /// Creates an instance that knows no other hosts yet. Other hosts reach `socket` at `location`.
-    /// What they report is recorded in `notices`, `fleet` and `peer_version`, and in the inboxes.
     #[must_use]
     pub fn new(
         own: Host,
         holder: u64,
         location: Location,
         socket: Arc<UdpSocket>,
-        notices: Arc<Notices>,
-        fleet: Arc<Mutex<Fleet>>,
-        peer_version: Arc<PeerVersion>,
+        records: Records,
     ) -> Self {
         Self {
             own,
@@ -72,13 +87,12 @@
             location,
             socket,
             snapshot: AtomicU32::new(0),
-            clock: notices.clock,
-            registry: Arc::clone(&notices.registry),
-            placer: Arc::clone(&notices.placer),
-            notices,
-            fleet,
+            clock: records.notices.clock,
+            registry: Arc::clone(&records.notices.registry),
+            placer: Arc::clone(&records.notices.placer),
+            records,
             contacts: Mutex::default(),
-            peer_version,
+            unsynced: Mutex::default(),
             inboxes: Arc::default(),
         }
     }
@@ -160,6 +174,7 @@
             let wait = next_snapshot.since(self.clock.now());
             let due = tokio::select! {
                 () = self.placer.updated.notified() => false,
+                () = self.records.quarantine.updated.notified() => false,
                 () = sleep(wait) => true,
             };
             if due {
@@ -173,9 +188,13 @@
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
                 self.send_items(snapshot, Scope::Snapshot { frames }, placements)
                     .await;
+                let repeated = self.records.quarantine.repeated();
+                self.send_items(snapshot, Scope::Updates, repeated).await;
+                self.request_evidence();
             } else {
                 sleep(BATCH_WINDOW).await;
-                let updates = self.placer.take_updates();
+                let mut updates = self.placer.take_updates();
+                updates.extend(self.records.quarantine.take_updates());
                 let snapshot = self.snapshot.load(Ordering::Relaxed);
                 self.send_items(snapshot, Scope::Updates, updates).await;
             }
@@ -206,6 +225,44 @@
         }
     }
 
+    /// Asks hosts that were not heard for a while for all their evidence, and sends them that of this
+    /// host.
+    fn request_evidence(&self) {
+        let targets: Vec<_> = {
+            let contacts = self.contacts.lock();
+            let mut unsynced = self.unsynced.lock();
+            unsynced.retain(|_, requests| *requests > 0);
+            let targets = unsynced.iter_mut().filter_map(|(host, requests)| {
+                *requests -= 1;
+                contacts.address(host)
+            });
+            targets.collect()
+        };
+        for address in targets {
+            self.send_evidence(address, Item::EvidenceRequest);
+        }
+    }
+
+    /// Sends all evidence of this host, and `last` after it. What the socket does not take at once is
+    /// lost and requested again.
+    fn send_evidence(&self, address: SocketAddr, last: Item) {
+        let mut items = self.records.quarantine.all();
+        items.push(last);
+        let snapshot = self.snapshot.load(Ordering::Relaxed);
+        for chunk in items.chunks(MAX_EVIDENCE_ITEMS) {
+            let frame = self.build_frame(snapshot, Scope::Updates, chunk.to_vec());
+            let sent = datagram::encode(TAG_KEY, &frame)
+                .map_err(|error| error.to_string())
+                .and_then(|bytes| {
+                    let sent = self.socket.try_send_to(&bytes, address);
+                    sent.map_err(|error| error.to_string())
+                });
+            if let Err(error) = sent {
+                log::debug!("event=not_told address={address} error=\"{error}\"");
+            }
+        }
+    }
+
     async fn send_frame(&self, frame: &Placements, addresses: &[SocketAddr]) {
         let Ok(bytes) = datagram::encode(TAG_KEY, frame) else {
             log::error!("event=frame_too_large items={}", frame.items.len());
@@ -260,12 +317,28 @@
         if let Heard::Restarted(previous) = heard {
             self.placer.drop_holder(previous);
         }
-        self.peer_version.raise(frame.version);
-        self.fleet.lock().record_heard(&host, frame.holder, now);
+        if heard != Heard::Known {
+            let requests = MAX_EVIDENCE_REQUESTS - 1;
+            self.unsynced.lock().insert(host.clone(), requests);
+            self.send_evidence(from, Item::EvidenceRequest);
+        }
+        self.records.peer_version.raise(frame.version);
+        self.records
+            .fleet
+            .lock()
+            .record_heard(&host, frame.holder, now);
         for item in &frame.items {
             match item {
-                Item::Leaving(identity) => self.notices.apply_forwarded(Identity(*identity)),
+                Item::Leaving(identity) => {
+                    self.records.notices.apply_forwarded(Identity(*identity));
+                }
                 Item::StoreRead(read) => self.inboxes.push(read.clone(), now),
+                Item::Evidence(evidence) => self.records.quarantine.apply(evidence),
+                Item::EvidenceRequest => self.send_evidence(from, Item::EvidenceEnd),
+                Item::EvidenceEnd => {
+                    self.unsynced.lock().remove(&host);
+                    self.records.quarantine.record_synced();
+                }
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pipeline;
 mod placer;
 mod plain;
+mod quarantine;
 mod registry;
 mod relay;
 mod report;
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -48,6 +48,11 @@
     metrics::counter!("filbertstage_backoffs_total").increment(1);
 }
 
+/// Counts an event of the quarantine of segments: a crash, a refused request or a probe.
+pub(crate) fn count_quarantine(event: &'static str) {
+    metrics::counter!("filbertstage_quarantine_total", "event" => event).increment(1);
+}
+
 /// Counts a return of the store from an older copy, as seen by the reader of a topic.
 pub(crate) fn count_restore(topic: &'static str) {
     metrics::counter!("filbertstage_store_restores_total", "topic" => topic).increment(1);
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -23,6 +23,7 @@
 use crate::headers::{encoded_len, end_to_end, error_response};
 use crate::notice::Notices;
 use crate::placer::Placer;
+use crate::quarantine::Quarantine;
 use crate::registry::Registry;
 use crate::transport::Dialer;
 use crate::{observe, plain, stream};
@@ -40,6 +41,8 @@
     pub balancer: Arc<Mutex<Balancer>>,
     /// Applies what endpoints announce about themselves.
     pub notices: Arc<Notices>,
+    /// Segments that crash engines.
+    pub quarantine: Arc<Quarantine>,
     /// Retry budgets of the services.
     pub budgets: Budgets,
     /// Connections to endpoints.
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -61,6 +61,12 @@
         self.placer.finish_prefill(&self.service, self.id);
     }
 
+    /// Returns the identifier of the placement, which no other one has.
+    #[must_use]
+    pub const fn id(&self) -> LoadId {
+        self.id
+    }
+
     /// Returns a unique ticket for the memory reservation at helper `index`.
     #[must_use]
     pub fn reservation_ticket(&self, index: usize) -> String {
@@ -397,7 +403,11 @@
             Item::Prefilled(sequence) => pool.finish_prefill(id(*sequence), now),
             Item::Done(sequence) => pool.release(id(*sequence)),
             // Not placements.
-            Item::Leaving(_) | Item::StoreRead(_) => {}
+            Item::Leaving(_)
+            | Item::StoreRead(_)
+            | Item::Evidence(_)
+            | Item::EvidenceRequest
+            | Item::EvidenceEnd => {}
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use kernel::balance::Balancer;
-use kernel::fleet::Fleet;
+use kernel::fleet::{Fleet, Start};
 use kernel::name::{Domain, Host};
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
@@ -24,11 +24,12 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::follow::{Follower, PeerVersion};
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, Records};
 use crate::notice::Notices;
 use crate::observe;
 use crate::pipeline::Pipeline;
 use crate::placer::Placer;
+use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
 use crate::server::{Server, Stage};
 use crate::settings::{Listen, Settings};
@@ -61,6 +62,7 @@
 /// A running host. Dropping it aborts its tasks.
 pub struct Relay {
     registry: Arc<Registry>,
+    quarantine: Arc<Quarantine>,
     server: Arc<Server>,
     draining: Arc<AtomicBool>,
     client_address: SocketAddr,
@@ -99,33 +101,27 @@
         let notices = Notices::new(&registry, &placer, &balancer, clock);
         let notices = Arc::new(notices);
         let own = Host::from(settings.host.as_str());
-        let fleet = Fleet::new(
-            own.clone(),
-            holder,
-            settings.retry.window(),
-            settings.start(),
-            clock.now(),
-        );
-        let fleet = Arc::new(Mutex::new(fleet));
+        let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
         let location = Location {
             address: socket.local_addr()?,
             domain: domain.clone(),
         };
-        let hosts = Arc::new(Hosts::new(
-            own,
-            holder,
-            location,
-            socket,
-            Arc::clone(&notices),
-            Arc::clone(&fleet),
-            Arc::clone(&peer_version),
-        ));
+        let synced = settings.start() == Start::First;
+        let quarantine = Arc::new(Quarantine::new(clock, synced));
+        let records = Records {
+            notices: Arc::clone(&notices),
+            fleet: Arc::clone(&fleet),
+            peer_version: Arc::clone(&peer_version),
+            quarantine: Arc::clone(&quarantine),
+        };
+        let hosts = Arc::new(Hosts::new(own, holder, location, socket, records));
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
             balancer,
             notices,
+            quarantine: Arc::clone(&quarantine),
             budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
             dialect: dependencies.dialect,
@@ -158,9 +154,13 @@
         tasks.spawn(assign_periodically(placer));
         tasks.spawn(sweep_periodically(pipeline));
         tasks.spawn(Arc::clone(&server).accept(clients));
-        spawn_admin(
-            &mut tasks, readiness, metrics, &registry, &server, &draining,
-        );
+        let admin = Admin {
+            registry: Arc::clone(&registry),
+            quarantine: Arc::clone(&quarantine),
+            server: Arc::clone(&server),
+            draining: Arc::clone(&draining),
+        };
+        spawn_admin(&mut tasks, readiness, metrics, &admin);
         log::info!(
             "event=started host={} domain={} life={holder:x} clients={address}",
             settings.host,
@@ -168,6 +168,7 @@
         );
         Ok(Self {
             registry,
+            quarantine,
             server,
             draining,
             client_address: address,
@@ -189,11 +190,13 @@
         self.metrics_address
     }
 
-    /// Whether the host reports itself as ready: it has a configuration and at least one endpoint,
-    /// and it is not draining.
+    /// Whether the host reports itself as ready: it has a configuration, at least one endpoint and
+    /// the other hosts' evidence about segments that crash engines, and it is not draining.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.registry.can_serve() && !self.draining.load(Ordering::SeqCst)
+        self.registry.can_serve()
+            && self.quarantine.is_synced()
+            && !self.draining.load(Ordering::SeqCst)
     }
 
     /// Reports the host as not ready to the load balancer, and waits within the grace period until
@@ -220,6 +223,12 @@
     }
 }
 
+fn new_fleet(settings: &Settings, holder: u64, clock: Clock) -> Fleet {
+    let own = Host::from(settings.host.as_str());
+    let window = settings.retry.window();
+    Fleet::new(own, holder, window, settings.start(), clock.now())
+}
+
 /// The bound sockets of a host.
 struct Listeners {
     clients: TcpListener,
@@ -242,22 +251,58 @@
     }
 }
 
-/// Spawns the listeners for readiness probes and metrics.
+/// What the readiness probe and the admin listener report.
+#[derive(Clone)]
+struct Admin {
+    registry: Arc<Registry>,
+    quarantine: Arc<Quarantine>,
+    server: Arc<Server>,
+    draining: Arc<AtomicBool>,
+}
+
+impl Admin {
+    /// Responds to the load balancer's readiness probe.
+    fn readiness(&self) -> Response<Body> {
+        let ready = self.registry.can_serve()
+            && self.quarantine.is_synced()
+            && !self.draining.load(Ordering::SeqCst);
+        let mut response = Response::new(Body::whole(""));
+        if !ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+
+    /// Responds with the metrics, or to a request about the quarantine.
+    fn respond<B>(&self, request: &Request<B>) -> Response<Body> {
+        if request.uri().path().starts_with(quarantine::PATH) {
+            return self.quarantine.respond(request);
+        }
+        observe::set_gauge("filbertstage_running", self.server.running() as u64);
+        let version = self.registry.version();
+        observe::set_gauge("filbertstage_configuration_version", version);
+        let entries = self
+            .registry
+            .with_directory(|directory| directory.entries().count());
+        observe::set_gauge("filbertstage_endpoints", entries as u64);
+        Response::new(Body::whole(telemetry::metrics::render()))
+    }
+}
+
+/// Spawns the listeners for readiness probes and for operators.
 fn spawn_admin(
     tasks: &mut JoinSet<()>,
     readiness: TcpListener,
     metrics: Option<TcpListener>,
-    registry: &Arc<Registry>,
-    server: &Arc<Server>,
-    draining: &Arc<AtomicBool>,
+    admin: &Admin,
 ) {
-    let (probed, draining) = (Arc::clone(registry), Arc::clone(draining));
-    let respond = move || self::readiness(&probed, &draining);
-    tasks.spawn(admin::serve(readiness, respond));
+    let probed = admin.clone();
+    tasks.spawn(admin::serve(readiness, move |_| probed.readiness()));
     if let Some(listener) = metrics {
-        let (registry, server) = (Arc::clone(registry), Arc::clone(server));
-        let respond = move || render_metrics(&registry, &server);
-        tasks.spawn(admin::serve(listener, respond));
+        let admin = admin.clone();
+        tasks.spawn(admin::serve(listener, move |request| {
+            admin.respond(request)
+        }));
     }
 }
 
@@ -281,21 +326,3 @@
         balancer.retain(|identity| identities.contains(&identity));
     }
 }
-
-/// Responds to the load balancer's readiness probe.
-fn readiness(registry: &Registry, draining: &AtomicBool) -> Response<Body> {
-    let mut response = Response::new(Body::whole(""));
-    if !registry.can_serve() || draining.load(Ordering::SeqCst) {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
-
-/// Updates the host's gauges and renders all metrics as text.
-fn render_metrics(registry: &Registry, server: &Server) -> Response<Body> {
-    observe::set_gauge("filbertstage_running", server.running() as u64);
-    observe::set_gauge("filbertstage_configuration_version", registry.version());
-    let entries = registry.with_directory(|directory| directory.entries().count());
-    observe::set_gauge("filbertstage_endpoints", entries as u64);
-    Response::new(Body::whole(telemetry::metrics::render()))
-}
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use kernel::event::Splitter;
 use kernel::outlier::Observation;
+use kernel::quarantine::{Crash, EVENTS_AT_START};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -12,14 +13,12 @@
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::observe;
+use crate::transport::Reachability;
 
 /// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
 /// after 2 s.
 const PAUSE_SLACK: Duration = Duration::from_millis(1_200);
 
-/// Number of events up to which a run has only just begun its answer.
-const EVENTS_AT_START: u64 = 2;
-
 /// Logged reason for a stream that ended inside an event.
 const PARTIAL_EVENT: &str = "the stream ended inside an event";
 /// Logged reason for a stream with an event above the size limit.
@@ -72,7 +71,7 @@
             let reason = match end {
                 End::Complete => {
                     self.record_observation(&upstream.engine, Observation::Succeeded);
-                    self.log_completed(&upstream, &splitter);
+                    self.record_completion(&upstream, &splitter);
                     upstream.exchange.finish();
                     return;
                 }
@@ -81,7 +80,7 @@
                 End::Broken(reason) => reason,
             };
             splitter.discard_partial();
-            self.log_broken(&upstream, &splitter).await;
+            self.record_break(&upstream, &splitter).await;
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
             self.record_failure(&upstream.engine, Observation::Failed, &reason);
             drop(upstream);
@@ -169,32 +168,56 @@
         None
     }
 
-    fn log_completed(&self, upstream: &Upstream, splitter: &Splitter) {
+    /// Records that a run broke. If it had only just begun and its engine is gone, this is evidence
+    /// that a segment of its prompt crashes engines.
+    ///
+    /// A broken connection to an engine that still accepts connections is none, nor is the end of an
+    /// engine that was to leave.
+    async fn record_break(&self, upstream: &Upstream, splitter: &Splitter) {
+        let (pipeline, engine) = (&self.pipeline, &upstream.engine);
+        let segments = &self.accepted.metadata.segments;
+        let ended = pipeline.clock.now();
+        let events = splitter.events() - upstream.events_before;
+        let reachability = if events <= EVENTS_AT_START {
+            Some(pipeline.dialer.probe(engine.address).await)
+        } else {
+            None
+        };
         log::info!(
-            "event=completed request={} engine={} events={}",
+            "event=run_broken request={} engine={} events={events} began_ms={} engine_connections={} segments={}",
             self.accepted.id(),
-            upstream.engine.name,
-            splitter.events() - upstream.events_before
+            engine.name,
+            ended.since(upstream.began).as_millis(),
+            reachability.map_or("-", Reachability::as_str),
+            self.accepted.segments()
         );
+        let gone = reachability.is_some_and(|reachability| reachability != Reachability::Accepts);
+        let identity = engine.identity();
+        let in_use = pipeline.registry.endpoint(&self.accepted.service, identity);
+        if gone && in_use.is_some() {
+            pipeline.quarantine.record_crash(Crash {
+                run: upstream.placement.id(),
+                engine: identity,
+                began: upstream.began,
+                ended,
+                segments: segments.clone(),
+            });
+        }
     }
 
-    /// Logs what tells a crash of the engine, and which run may have caused it, from a broken
-    /// connection: how far the run was, and whether the engine still accepts connections.
-    async fn log_broken(&self, upstream: &Upstream, splitter: &Splitter) {
+    /// Records that an engine has sent its answer to the end.
+    fn record_completion(&self, upstream: &Upstream, splitter: &Splitter) {
         let events = splitter.events() - upstream.events_before;
-        let reachability = if events <= EVENTS_AT_START {
-            let probed = self.pipeline.dialer.probe(upstream.engine.address).await;
-            format!("{probed:?}")
-        } else {
-            "-".to_owned()
-        };
         log::info!(
-            "event=run_broken request={} engine={} events={events} began_ms={} engine_connections={reachability} segments={}",
+            "event=completed request={} engine={} events={events}",
             self.accepted.id(),
-            upstream.engine.name,
-            self.pipeline.clock.now().since(upstream.began).as_millis(),
-            self.accepted.segments()
+            upstream.engine.name
         );
+        if events > 0 {
+            let segments = &self.accepted.metadata.segments;
+            let quarantine = &self.pipeline.quarantine;
+            quarantine.record_completion(segments, upstream.began);
+        }
     }
 
     fn log_resumed(&self, next: &Upstream, splitter: &Splitter) {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -22,6 +22,7 @@
 use crate::pipeline::{Accepted, Pipeline};
 use crate::placer::Placement;
 use crate::plain::{MISMATCHED_RESPONSE, UNSIGNED_RESPONSE, build_response};
+use crate::quarantine::Admission;
 use crate::reservation::{self, Reservations};
 use crate::transport::{Exchange, Failure};
 
@@ -60,6 +61,8 @@
     pipeline: Arc<Pipeline>,
     accepted: Accepted,
     attempts: Attempts,
+    /// The decision of the quarantine, which may change before each attempt.
+    admission: Admission,
     prompt_tokens: u64,
     answer_tokens: u64,
     /// Whether the client received the head of the response.
@@ -76,8 +79,21 @@
         .metadata
         .tokens
         .unwrap_or((0, u64::from(profile.stride)));
+    let attempts = Attempts::new(&accepted.route);
+    let quarantine = Arc::clone(&pipeline.quarantine);
+    let admitted = quarantine.admit(accepted.id(), &accepted.metadata.segments);
+    let admission = match admitted.await {
+        Ok(admission) => admission,
+        Err(rest) => {
+            let give_up = GiveUp::Quarantined(rest);
+            quarantine.log_refusal(accepted.id(), &accepted.metadata.segments);
+            accepted.log_give_up(&attempts, give_up, pipeline.clock.now());
+            return attempts.final_response(give_up);
+        }
+    };
     let mut session = Session {
-        attempts: Attempts::new(&accepted.route),
+        attempts,
+        admission,
         pipeline,
         accepted,
         prompt_tokens,
@@ -117,7 +133,17 @@
             if !self.attempts.allowed() {
                 break GiveUp::Exhausted;
             }
-            let placement = match self.place().await {
+            let segments = &self.accepted.metadata.segments;
+            let quarantine = &self.pipeline.quarantine;
+            let placed = tokio::select! {
+                biased;
+                rest = quarantine.refused(segments, self.admission) => {
+                    quarantine.log_refusal(self.accepted.id(), segments);
+                    Err(GiveUp::Quarantined(rest))
+                }
+                placed = self.place() => placed,
+            };
+            let placement = match placed {
                 Ok(placement) => placement,
                 Err(give_up) => break give_up,
             };
@@ -184,6 +210,15 @@
                 return Err(None);
             }
         };
+        let segments = &self.accepted.metadata.segments;
+        if pipeline
+            .quarantine
+            .recheck(segments, self.admission)
+            .is_err()
+        {
+            // The next attempt is refused before it is placed.
+            return Err(None);
+        }
         if !self.attempts.try_start(&pipeline.budgets, service) {
             self.attempts.exhaust();
             return Err(None);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -66,6 +66,18 @@
     Silent,
 }
 
+impl Reachability {
+    /// Returns the name that appears in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepts => "accepted",
+            Self::Refuses => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// An open connection that waits for its next request.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod auth;
 pub mod datagram;
+pub mod evidence;
 mod frame;
 pub mod placement;
 pub mod stream;
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::Evidence;
+
 /// Updates to the placements of one host, or a part of a snapshot of all of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placements {
@@ -51,6 +53,12 @@
     Leaving(u64),
     /// The sender has read a topic of the store.
     StoreRead(Read),
+    /// Evidence about a segment that may crash engines.
+    Evidence(Evidence),
+    /// The receiver is to send all its evidence.
+    EvidenceRequest,
+    /// The sender has sent all its evidence.
+    EvidenceEnd,
 }
 
 /// A read of one topic of the store.
