Eject an engine that refuses connections without its failure domain

Crashed engines refuse connections.

A refused connection now is an observation of its own. It ejects the engine at once, also when the stream of a run that had just begun broke, and says nothing against the domain, whose network has answered.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -64,6 +64,8 @@
     reservation_count: usize,
     commands: usize,
     rejections: usize,
+    /// Failure domain in the entry, if it is not the usual one.
+    domain: Option<&'static str>,
     leaving: bool,
     /// Segment of prompts that crashes the endpoint when it begins the answer.
     lethal_segment: Option<&'static str>,
@@ -113,8 +115,9 @@
     /// Returns the entry that registers the endpoint in the log.
     #[must_use]
     pub fn entry(&self, address: SocketAddr, state: &str) -> Value {
+        let domain = self.state.lock().domain.unwrap_or("cannock");
         json!({
-            "service": self.service, "address": address, "zone": "cannock", "version": "v1",
+            "service": self.service, "address": address, "zone": domain, "version": "v1",
             "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 7,
         })
     }
@@ -124,6 +127,11 @@
         self.state.lock().faults.push(fault);
     }
 
+    /// Sets the failure domain in the endpoint's next entry.
+    pub fn set_domain(&self, domain: &'static str) {
+        self.state.lock().domain = Some(domain);
+    }
+
     /// Sets whether the endpoint says in all its responses that it leaves.
     pub fn set_leaving(&self, leaving: bool) {
         self.state.lock().leaving = leaving;
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -32,6 +32,9 @@
     Failed,
     /// The endpoint could not be reached or stopped responding.
     Unresponsive,
+    /// The endpoint's address refuses connections: the endpoint has ended, but its failure domain can
+    /// be reached.
+    Gone,
 }
 
 /// Detects failure domains that are unreachable, for example because of a network partition.
@@ -55,7 +58,7 @@
                 self.unresponsive.remove(domain);
                 self.ejected.remove(domain);
             }
-            Observation::Failed => {}
+            Observation::Failed | Observation::Gone => {}
             Observation::Unresponsive => self.record_unresponsive(domain, endpoint, now),
         }
     }
@@ -92,7 +95,7 @@
         match observation {
             Observation::Succeeded => self.record_success(),
             Observation::Failed => self.record_failure(now),
-            Observation::Unresponsive => self.record_unresponsive(now),
+            Observation::Unresponsive | Observation::Gone => self.record_unresponsive(now),
         }
     }
 
@@ -127,7 +130,7 @@
         }
     }
 
-    /// Ejects the endpoint at once because it is unresponsive.
+    /// Ejects the endpoint at once because it is unresponsive or gone.
     fn record_unresponsive(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         self.unresponsive = true;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -50,8 +50,8 @@
     Failed(response::Parts, bytes::Bytes),
     /// The endpoint did not run the call.
     NotRun,
-    /// Nothing was sent, with the reason.
-    Unsent(String),
+    /// Nothing was sent, with what this says about the endpoint and the reason.
+    Unsent(Observation, String),
     /// The call may have run, with the reason why there is no usable response.
     Uncertain(String),
 }
@@ -81,7 +81,7 @@
                 last_failure = Some((head, body));
             }
             Outcome::NotRun => attempts.record_rejected(endpoint),
-            Outcome::Unsent(_) => attempts.record_unsent(endpoint),
+            Outcome::Unsent(..) => attempts.record_unsent(endpoint),
             Outcome::Uncertain(_) => attempts.record_run(endpoint),
         }
         if !attempts.allowed() {
@@ -151,7 +151,8 @@
     };
     match timeout(limit, exchange).await {
         Ok(Ok((class, head, body))) => classify(class, head, body),
-        Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(reason),
+        Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(Observation::Unresponsive, reason),
+        Ok(Err(Failure::Refused(reason))) => Outcome::Unsent(Observation::Gone, reason),
         Ok(Err(Failure::Uncertain(reason))) => Outcome::Uncertain(reason),
         Err(_) => {
             pipeline.dialer.close_idle(entry.address);
@@ -181,8 +182,8 @@
             ("failed", head.status.to_string())
         }
         Outcome::NotRun => ("not_run", String::new()),
-        Outcome::Unsent(reason) => {
-            record(Observation::Unresponsive);
+        Outcome::Unsent(observation, reason) => {
+            record(*observation);
             ("unsent", reason.clone())
         }
         Outcome::Uncertain(reason) => {
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -191,6 +191,9 @@
             reachability.map_or("-", Reachability::as_str),
             self.accepted.segments()
         );
+        if reachability == Some(Reachability::Refuses) {
+            self.record_observation(engine, Observation::Gone);
+        }
         let gone = reachability.is_some_and(|reachability| reachability != Reachability::Accepts);
         let identity = engine.identity();
         let in_use = pipeline.registry.endpoint(&self.accepted.service, identity);
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -245,9 +245,11 @@
                     .await
             }
             Ok(Err(Failure::Unsent(reason))) => {
-                self.log_send(&engine, "unsent", &reason);
-                self.record_observation(&engine, Observation::Unresponsive);
-                self.attempts.record_unsent(engine.identity());
+                self.record_unsent(&engine, Observation::Unresponsive, &reason);
+                Err(None)
+            }
+            Ok(Err(Failure::Refused(reason))) => {
+                self.record_unsent(&engine, Observation::Gone, &reason);
                 Err(None)
             }
             Ok(Err(Failure::Uncertain(reason))) => {
@@ -310,6 +312,13 @@
         })
     }
 
+    /// Records an attempt of which nothing was sent.
+    fn record_unsent(&mut self, engine: &Entry, observation: Observation, reason: &str) {
+        self.log_send(engine, "unsent", reason);
+        self.record_observation(engine, observation);
+        self.attempts.record_unsent(engine.identity());
+    }
+
     /// Records an attempt that ran, or may have run, and failed.
     fn record_failure(&mut self, engine: &Entry, observation: Observation, reason: &str) {
         self.log_send(engine, "failed", reason);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -48,6 +48,10 @@
         Unsent(reason: String) {
             display("nothing was sent: {}", reason)
         }
+        /// The peer refused the connection, so nothing was sent.
+        Refused(reason: String) {
+            display("nothing was sent: {}", reason)
+        }
         /// The request was sent, and its outcome is unknown.
         Uncertain(reason: String) {
             display("no whole answer: {}", reason)
@@ -140,7 +144,7 @@
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] if no part of the request was sent, otherwise [`Failure::Uncertain`].
+    /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise [`Failure::Uncertain`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -237,7 +241,13 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, Failure> {
-        let unsent = |error: std::io::Error| Failure::Unsent(format!("{address}: {error}"));
+        let unsent = |error: io::Error| {
+            let reason = format!("{address}: {error}");
+            match error.kind() {
+                io::ErrorKind::ConnectionRefused => Failure::Refused(reason),
+                _ => Failure::Unsent(reason),
+            }
+        };
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting
             .await
