--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod name;
 pub mod outcome;
 pub mod outlier;
+pub mod pace;
 pub mod place;
 pub mod position;
 pub mod quarantine;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -8,6 +8,7 @@
 use kernel::catalogue::{Configuration, Entry};
 use kernel::fleet::Announcement;
 use kernel::name::{Domain, Endpoint, Workspace};
+use kernel::pace::Limit;
 use kernel::segment::Segment;
 use quick_error::quick_error;
 
@@ -86,12 +87,14 @@
 }
 
 /// What an endpoint announces about itself in the headers of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// The endpoint leaves and wants no new requests.
     pub leaving: bool,
     /// Time for which the endpoint wants no requests from this host.
     pub backoff: Option<Duration>,
+    /// The rate of requests that the endpoint accepts from all hosts together.
+    pub limit: Limit,
 }
 
 /// Reads and writes the headers of a platform.
@@ -198,7 +201,7 @@
 }
 
 /// An engine's response to a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
     /// Whether the command was carried out.
     pub result: Result<(), Error>,
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,11 +1,13 @@
 //! Handles what endpoints announce about themselves: that they leave, or want no requests for a
 //! while.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::balance::Balancer;
 use kernel::catalogue::{Entry, Identity};
+use kernel::pace::{Limit, Rate};
 use parking_lot::Mutex;
 
 use crate::adapter::Notice;
@@ -22,6 +24,8 @@
     pub placer: Arc<Placer>,
     /// Balances calls over the endpoints of plain services.
     pub balancer: Arc<Mutex<Balancer>>,
+    /// The limits that endpoints name.
+    limits: Mutex<HashMap<Identity, Rate>>,
     /// Monotonic clock.
     pub clock: Clock,
 }
@@ -39,6 +43,7 @@
             registry: Arc::clone(registry),
             placer: Arc::clone(placer),
             balancer: Arc::clone(balancer),
+            limits: Mutex::default(),
             clock,
         }
     }
@@ -55,6 +60,24 @@
         if let Some(time) = notice.backoff {
             self.back_off(entry, time);
         }
+        self.log_limit(entry, notice.limit);
+    }
+
+    /// Logs the limit that an endpoint names, whenever it changes.
+    fn log_limit(&self, entry: &Entry, limit: Limit) {
+        let identity = entry.identity();
+        let mut limits = self.limits.lock();
+        let changed = match limit {
+            Limit::Unknown => false,
+            Limit::Unlimited => limits.remove(&identity).is_some(),
+            Limit::Limited(rate) => limits.insert(identity, rate) != Some(rate),
+        };
+        if changed {
+            log::info!(
+                "event=endpoint_limit endpoint={} limit={limit:?}",
+                entry.name
+            );
+        }
     }
 
     /// Applies the notice of an endpoint that another host passes on.
