--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -67,6 +67,10 @@
     /// Failure domain in the entry, if it is not the usual one.
     domain: Option<&'static str>,
     leaving: bool,
+    /// Requests per second that the endpoint names as its limit.
+    limit: Option<&'static str>,
+    /// Arrival times of requests, including rejected ones.
+    arrivals: Vec<Instant>,
     /// Segment of prompts that crashes the endpoint when it begins the answer.
     lethal_segment: Option<&'static str>,
     command_delay: Duration,
@@ -137,6 +141,17 @@
         self.state.lock().leaving = leaving;
     }
 
+    /// Sets the limit that the endpoint names in all its responses, or none.
+    pub fn set_limit(&self, per_second: Option<&'static str>) {
+        self.state.lock().limit = per_second;
+    }
+
+    /// Returns the arrival times of all requests, including rejected ones.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// Makes the endpoint crash whenever it begins an answer to a prompt with this segment, which is
     /// not the last one.
     pub fn crash_on_segment(&self, id: &'static str) {
@@ -362,7 +377,11 @@
         if expected.is_some_and(|name| name != self.name) {
             return Some(json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})));
         }
-        let fault = self.state.lock().faults.pop();
+        let fault = {
+            let mut state = self.state.lock();
+            state.arrivals.push(Instant::now());
+            state.faults.pop()
+        };
         if let Some(Fault::Reject | Fault::RejectFor(_)) = fault {
             self.state.lock().rejections += 1;
             return Some(rejection(fault));
@@ -403,10 +422,15 @@
 
     async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
         let mut response = Arc::clone(&self).respond(request).await?;
-        if self.state.lock().leaving {
-            let leaving = HeaderValue::from_static("1");
-            response.headers_mut().insert("server-leaving", leaving);
+        let state = self.state.lock();
+        let headers = response.headers_mut();
+        if state.leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        if let Some(limit) = state.limit {
+            headers.insert("server-limit", HeaderValue::from_static(limit));
         }
+        drop(state);
         Some(response)
     }
 }
