Pace requests to endpoints that name a limit, over all hosts together

Cause: the limit was not read at all; what an endpoint asked for beyond a pause for one host had no place in the design.

An endpoint's limit is now part of its notice. A host that learns or loses one tells the others, and each host tells the others of every request that it sends to a limited endpoint, so that all of them work out the same next turn. Requests are spaced evenly, so an idle endpoint gets no burst. For engines the turn is claimed like a last slot before it is taken, since many hosts wait for the same one. Work goes to endpoints without a limit first; limited engines help no other; if no turn comes in time, the request is refused at once with the time of its turn. First attempts, repeats and resumptions all pass the same place. A limit ends with a response to a later request that names none, and with the endpoint's incarnation; numbers out of range are bounded, so nothing is shut out for ever.

Weighed: equal shares (a limit of 1 a second for 23 hosts is nothing or 23 bursts), and an owner of each endpoint that grants turns (a hop for each request, and a gap when it dies).

--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -7,6 +7,7 @@
 use crate::clock::Instant;
 use crate::name::Domain;
 use crate::outlier::{Health, Observation};
+use crate::pace::{Pacer, Rate};
 
 /// Load penalty of an endpoint in another failure domain, in running requests.
 const REMOTE_DOMAIN_REQUESTS: f64 = 0.25;
@@ -15,6 +16,7 @@
 struct Stats {
     running: u32,
     health: Health,
+    pacer: Pacer,
 }
 
 /// Tracks the running requests and the health of endpoints, as seen by one host.
@@ -25,10 +27,10 @@
 
 impl Balancer {
     /// Returns the endpoint with the fewest running requests per slot, preferring those in
-    /// `domain`.
+    /// `domain`. An endpoint that names a limit is only used if no other one can be.
     ///
-    /// Endpoints in `excluded` and those that want no requests are never returned. Ejected
-    /// endpoints are skipped unless all others are ejected too.
+    /// Endpoints in `excluded`, those that want no requests, and those whose next turn is later are
+    /// never returned. Ejected endpoints are skipped unless all others are ejected too.
     #[must_use]
     pub fn pick<'a>(
         &self,
@@ -39,7 +41,7 @@
     ) -> Option<&'a Entry> {
         let all: Vec<_> = entries
             .filter(|entry| !excluded.contains(&entry.identity()))
-            .filter(|entry| self.backoff(entry.identity(), now).is_none())
+            .filter(|entry| self.wait(entry.identity(), now).is_zero())
             .collect();
         let healthy: Vec<_> = all
             .iter()
@@ -47,6 +49,14 @@
             .filter(|entry| !self.is_ejected(entry.identity(), now))
             .collect();
         let candidates = if healthy.is_empty() { all } else { healthy };
+        let (limited, unlimited): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|entry| self.is_limited(entry.identity()));
+        let candidates = if unlimited.is_empty() {
+            limited
+        } else {
+            unlimited
+        };
         candidates
             .into_iter()
             .map(|entry| (self.load(entry, domain), entry))
@@ -73,20 +83,53 @@
             .is_some_and(|stats| stats.health.is_ejected(now))
     }
 
-    fn backoff(&self, identity: Identity, now: Instant) -> Option<Duration> {
-        let stats = self.endpoints.get(&identity)?;
-        stats.health.backoff(now)
+    /// Returns whether an endpoint names a limit.
+    #[must_use]
+    pub fn is_limited(&self, identity: Identity) -> bool {
+        let stats = self.endpoints.get(&identity);
+        stats.is_some_and(|stats| stats.pacer.limit().is_some())
+    }
+
+    /// Returns the time until an endpoint accepts a request from this host.
+    fn wait(&self, identity: Identity, now: Instant) -> Duration {
+        let stats = self.endpoints.get(&identity);
+        stats.map_or(Duration::ZERO, |stats| {
+            let backoff = stats.health.backoff(now).unwrap_or_default();
+            backoff.max(stats.pacer.wait(now))
+        })
     }
 
-    /// Returns the time after which the first of the endpoints that want no requests accepts them
-    /// again, or `None` if there is no such endpoint.
-    pub fn shortest_backoff<'a>(
+    /// Returns the time after which the first of the endpoints that want no requests, or whose next
+    /// turn is later, accepts one. Returns `None` if there is no such endpoint.
+    pub fn shortest_wait<'a>(
         &self,
         entries: impl Iterator<Item = &'a Entry>,
         now: Instant,
     ) -> Option<Duration> {
-        let backoffs = entries.filter_map(|entry| self.backoff(entry.identity(), now));
-        backoffs.min()
+        let waits = entries.map(|entry| self.wait(entry.identity(), now));
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+
+    /// Records a limit that an endpoint stated at `at`, or that it stated none; returns whether this
+    /// changes its limit. See [`Pacer::observe`].
+    pub fn observe_limit(&mut self, identity: Identity, limit: Option<Rate>, at: Instant) -> bool {
+        let stats = self.endpoints.entry(identity).or_default();
+        stats.pacer.observe(limit, at)
+    }
+
+    /// Records that a request is sent to an endpoint, by this or another host.
+    pub fn record_request(&mut self, identity: Identity, now: Instant) {
+        if let Some(stats) = self.endpoints.get_mut(&identity) {
+            stats.pacer.record_request(now);
+        }
+    }
+
+    /// Returns the endpoints that have named limits, with what they stated last and when.
+    pub fn limits(&self) -> impl Iterator<Item = (Identity, Option<Rate>, Instant)> {
+        self.endpoints.iter().filter_map(|(identity, stats)| {
+            let (limit, at) = stats.pacer.statement()?;
+            Some((*identity, limit, at))
+        })
     }
 
     /// Records that an endpoint wants no requests for `time`.
--- a/crates/kernel/src/pace.rs
+++ b/crates/kernel/src/pace.rs
@@ -1,8 +1,14 @@
 //! Paces requests to endpoints that name the rate at which all hosts together may send them.
+//!
+//! The hosts tell each other the limits and each request to a limited endpoint. Each of them works
+//! out the next turn from these, so that the sum holds without shares: a limit of one request a second
+//! is used by whichever host needs it first.
 
 use std::fmt;
 use std::time::Duration;
 
+use crate::clock::Instant;
+
 /// Lowest rate that is kept to, in requests per second. An endpoint that names less, or zero, is
 /// still asked now and then whether its limit holds.
 const MIN_PER_SECOND: f64 = 0.2;
@@ -53,3 +59,84 @@
     /// The endpoint accepts requests at this rate from all hosts together.
     Limited(Rate),
 }
+
+/// Time for which an endpoint's turn is kept for another host that has claimed it. By then its claim
+/// is settled, and its request has been announced or the claim was lost.
+const CLAIM_HOLD: Duration = Duration::from_millis(25);
+
+/// The limit of one endpoint and the next turn at it, as one host knows them.
+///
+/// Requests are spaced evenly, so that an endpoint that was idle gets no burst.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pacer {
+    limit: Option<Rate>,
+    /// Time of the statement from which the limit is known, or its end.
+    stated_at: Option<Instant>,
+    /// Time of the next turn.
+    next: Instant,
+    /// Time until which the turn is kept for another host.
+    held_until: Instant,
+}
+
+impl Pacer {
+    /// Records a limit that the endpoint stated at `at`, or with `None` that it stated none in
+    /// response to a request that was sent at `at`. Returns whether the limit has changed.
+    ///
+    /// A statement older than the last one is ignored, because responses overtake each other.
+    pub fn observe(&mut self, limit: Option<Rate>, at: Instant) -> bool {
+        let relevant = limit.is_some() || self.limit.is_some();
+        if !relevant || self.stated_at.is_some_and(|last| at <= last) {
+            return false;
+        }
+        self.stated_at = Some(at);
+        let previous = std::mem::replace(&mut self.limit, limit);
+        if let Some(rate) = limit {
+            let next = at + rate.interval();
+            self.next = match previous {
+                Some(_) => self.next.min(next),
+                None => next,
+            };
+        }
+        limit != previous
+    }
+
+    /// Returns the limit in force.
+    #[must_use]
+    pub const fn limit(&self) -> Option<Rate> {
+        self.limit
+    }
+
+    /// Returns the last statement and its time, if the endpoint has ever named a limit.
+    #[must_use]
+    pub fn statement(&self) -> Option<(Option<Rate>, Instant)> {
+        Some((self.limit, self.stated_at?))
+    }
+
+    /// Returns the time until the next request may be sent, which is zero without a limit.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Duration {
+        match self.limit {
+            Some(_) => self.next.max(self.held_until).since(now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns whether the turn has come and no request has taken it, even if it is kept for another
+    /// host.
+    #[must_use]
+    pub fn is_free(&self, now: Instant) -> bool {
+        self.limit.is_none() || self.next <= now
+    }
+
+    /// Records that this or another host sends a request at `at`, which takes the turn.
+    pub fn record_request(&mut self, at: Instant) {
+        if let Some(rate) = self.limit {
+            self.next = self.next.max(at) + rate.interval();
+        }
+    }
+
+    /// Keeps the turn for another host that has claimed it.
+    pub fn hold(&mut self, now: Instant) {
+        self.held_until = self.held_until.max(now + CLAIM_HOLD);
+    }
+}
--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -10,6 +10,7 @@
 use crate::clock::Instant;
 use crate::name::Domain;
 use crate::outlier::Health;
+use crate::pace::Pacer;
 
 /// Identifies the loads of one request: the host's incarnation and a sequence number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -51,6 +52,8 @@
     pub domain: Domain,
     /// Recent health of the engine.
     pub health: Health,
+    /// The limit that the engine names, if any, and the next turn.
+    pub pacer: Pacer,
     /// Position in the order in which engines are filled, from 0 to 1; the same on every host.
     pub fill_order: f64,
     loads: HashMap<LoadId, Load>,
@@ -67,11 +70,19 @@
             identity,
             domain,
             health: Health::default(),
+            pacer: Pacer::default(),
             fill_order: f64::from(fill_order) / f64::from(FILL_STEPS),
             loads: HashMap::new(),
         }
     }
 
+    /// Returns the time until the engine accepts a request from this host.
+    #[must_use]
+    pub fn wait(&self, now: Instant) -> Duration {
+        let backoff = self.health.backoff(now).unwrap_or_default();
+        backoff.max(self.pacer.wait(now))
+    }
+
     /// Returns the predicted end of all current loads, or `now` if there are none.
     #[must_use]
     pub fn free_at(&self, now: Instant) -> Instant {
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod pool;
 mod speed;
+mod turns;
 
 pub use engine::{Engine, Load, LoadId};
 pub use plan::{Part, Plan, Request};
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -48,6 +48,8 @@
 const MIXING_MS: f64 = 400.0;
 /// Cost of an engine in another failure domain: traffic to it is billed and has a longer path.
 const REMOTE_DOMAIN_MS: f64 = 15.0;
+/// Cost of an engine that names a limit: it is used if no other engine has room.
+const LIMITED_MS: f64 = 1_000.0;
 /// Weight of the fill order for latency-tolerant streams, which fill the engines in reverse order.
 const TOLERANT_FILL_ORDER_MS: f64 = 30.0;
 /// Fraction of an engine's memory that plans may use, because predictions and reports lag behind.
@@ -217,6 +219,11 @@
             .position(|candidate| has_slot(candidate) && fits(candidate))
             .or_else(|| candidates.iter().position(has_slot).filter(|_| count > 1))?;
         let primary = candidates.remove(primary);
+        // Reservations and parts of prompts would come on top of the requests that an engine limits.
+        candidates.retain(|candidate| candidate.engine.pacer.limit().is_none());
+        if candidates.len() < count - 1 {
+            return None;
+        }
         candidates.truncate(count - 1);
         let reservations = self.reservations(primary.engine, &candidates, wanted)?;
         Some(self.build(request, &primary, &candidates, &reservations, part_ms))
@@ -263,6 +270,9 @@
         if engine.domain != *self.domain {
             cost += REMOTE_DOMAIN_MS;
         }
+        if engine.pacer.limit().is_some() {
+            cost += LIMITED_MS;
+        }
         Some(Candidate {
             engine,
             primary_ms,
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -59,6 +59,16 @@
     submitted: Instant,
 }
 
+/// State of one round of assignments.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    /// Pause of the last request for which no plan was found. Later requests with the same pause are
+    /// not planned in this round.
+    blocked: Option<Duration>,
+    /// Number of requests that wait for a turn at a limited engine.
+    ahead: u32,
+}
+
 /// Engines and waiting requests of one service, as seen by one host.
 #[derive(Debug)]
 pub struct Pool {
@@ -66,7 +76,7 @@
     domain: Domain,
     holder: u64,
     sequence: u32,
-    engines: HashMap<Identity, Engine>,
+    pub(super) engines: HashMap<Identity, Engine>,
     waiting: Vec<Waiting>,
     tickets: u64,
     domain_health: DomainHealth,
@@ -138,20 +148,6 @@
         self.engines.get(&identity)?.health.backoff(now)
     }
 
-    /// Returns the time after which the first engine accepts requests, if none that the request
-    /// may use accepts them now and some engines want none for a while.
-    fn shortest_backoff(&self, request: &Request, now: Instant) -> Option<Duration> {
-        let mut shortest: Option<Duration> = None;
-        for engine in self.engines.values() {
-            match engine.health.backoff(now) {
-                Some(rest) => shortest = Some(shortest.map_or(rest, |least| least.min(rest))),
-                None if !request.excluded.contains(&engine.identity) => return None,
-                None => {}
-            }
-        }
-        shortest
-    }
-
     /// Returns the engine with this identity.
     pub fn engine_mut(&mut self, identity: Identity) -> Option<&mut Engine> {
         self.engines.get_mut(&identity)
@@ -205,9 +201,9 @@
                 waiting.request.due + prefill * PREFILL_WEIGHT,
             )
         });
-        let mut blocked: Option<Duration> = None;
+        let mut round = Round::default();
         for queued in waiting {
-            let decision = self.decide(&queued, &mut blocked, now);
+            let decision = self.decide(&queued, &mut round, now);
             match decision {
                 Some(decision) => decisions.push((queued.ticket, decision)),
                 None => self.waiting.push(queued),
@@ -217,31 +213,31 @@
     }
 
     /// Decides on one request; returns `None` if it keeps waiting.
-    ///
-    /// `blocked` is the pause of the last request in this round for which no plan was found. Later
-    /// requests with the same pause are not planned in this round.
-    fn decide(
-        &mut self,
-        queued: &Waiting,
-        blocked: &mut Option<Duration>,
-        now: Instant,
-    ) -> Option<Decision> {
+    fn decide(&mut self, queued: &Waiting, round: &mut Round, now: Instant) -> Option<Decision> {
         let engines = self.engines.len();
         if engines > 0 && !fits_in_memory(&self.speed, engines, &queued.request) {
             return Some(Decision::Refuse(MAX_RETRY_AFTER));
         }
-        if blocked.is_none_or(|pause| pause != queued.request.pause) {
+        if round
+            .blocked
+            .is_none_or(|pause| pause != queued.request.pause)
+        {
             if let Some(plan) = self.plan(&queued.request, now.since(queued.submitted), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                let slots_left = self.slots_left(plan.primary);
+                // A turn at a limited engine is a last slot.
+                let slots_left = if self.is_limited(plan.primary) {
+                    0
+                } else {
+                    self.slots_left(plan.primary)
+                };
                 return Some(if self.claims.open(id, &plan, slots_left) {
                     Decision::Claim(id, plan)
                 } else {
                     Decision::Start(id, plan)
                 });
             }
-            *blocked = Some(queued.request.pause);
+            round.blocked = Some(queued.request.pause);
         }
         let max_wait = queued.request.deadline.since(queued.submitted) / WAIT_DIVISOR;
         let due = queued.request.due.since(queued.submitted);
@@ -253,10 +249,11 @@
         let wait_left = max_wait
             .min(due)
             .saturating_sub(now.since(queued.submitted));
-        if let Some(backoff) = self.shortest_backoff(&queued.request, now)
-            && backoff > wait_left
-        {
-            return Some(Decision::Refuse(backoff));
+        if let Some(turn) = self.next_turn(&queued.request, round.ahead, now) {
+            if turn > wait_left {
+                return Some(Decision::Refuse(turn));
+            }
+            round.ahead += 1;
         }
         wait_left
             .is_zero()
@@ -267,7 +264,7 @@
         let accepting: Vec<_> = self
             .engines
             .values()
-            .filter(|engine| engine.health.backoff(now).is_none())
+            .filter(|engine| engine.wait(now).is_zero())
             .collect();
         let reachable: Vec<_> = accepting
             .iter()
@@ -321,11 +318,15 @@
         }
     }
 
-    /// Closes a claim and returns whether its request may run. If the claim is lost, its loads are
-    /// removed.
-    pub fn settle(&mut self, id: LoadId) -> bool {
-        let holds = self.claims.settle(id);
-        if !holds {
+    /// Closes the claim on a plan with the engine `primary` and returns whether its request may run. If
+    /// the claim is lost, its loads are removed. If the engine is limited, the request takes the turn.
+    pub fn settle(&mut self, id: LoadId, primary: Identity, now: Instant) -> bool {
+        let engine = self.engines.get(&primary);
+        let in_turn = engine.is_none_or(|engine| engine.pacer.is_free(now));
+        let holds = self.claims.settle(id) && in_turn;
+        if holds {
+            self.record_request(primary, now);
+        } else {
             self.release(id);
         }
         holds
@@ -334,6 +335,11 @@
     /// Adds a load of another host, which may defeat a claim of this host.
     pub fn put_remote(&mut self, id: LoadId, engine: Identity, load: Load, now: Instant) {
         self.claims.contest(id, engine, &load);
+        if let Some(engine) = self.engines.get_mut(&engine)
+            && load.decodes
+        {
+            engine.pacer.hold(now);
+        }
         self.put(id, engine, load, now);
     }
 
@@ -422,10 +428,7 @@
         let mut free: Vec<_> = self
             .engines
             .values()
-            .map(|engine| {
-                let backoff = engine.health.backoff(now).unwrap_or_default();
-                engine.free_at(now).since(now).max(backoff)
-            })
+            .map(|engine| engine.free_at(now).since(now).max(engine.wait(now)))
             .collect();
         free.sort();
         let last = free.get(needed - 1).or(free.last());
--- a/crates/kernel/tests/contention.rs
+++ b/crates/kernel/tests/contention.rs
@@ -37,7 +37,7 @@
         }
         for (id, plan) in chosen {
             let holder = usize::try_from(id.holder).expect("small");
-            if pools[holder - 1].settle(id) {
+            if pools[holder - 1].settle(id, plan.primary, NOW) {
                 kept.push((id, plan));
             } else {
                 lost_claims += 1;
@@ -107,7 +107,7 @@
         };
         pool.put_remote(other, plan.primary, part(20, true), NOW);
     }
-    assert!(pool.settle(id));
+    assert!(pool.settle(id, plan.primary, NOW));
 }
 
 /// Guards against an overcommitted engine: in a burst of short prompts, several hosts choose its
@@ -143,7 +143,9 @@
         }
     }
     let settled = chosen.iter().zip(&mut pools);
-    let kept: Vec<_> = settled.map(|((id, _), pool)| pool.settle(*id)).collect();
+    let kept: Vec<_> = settled
+        .map(|((id, plan), pool)| pool.settle(*id, plan.primary, NOW))
+        .collect();
     assert_eq!(kept.iter().filter(|kept| **kept).count(), 1, "{kept:?}");
 }
 
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -32,10 +32,10 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of items of one datagram, so that it fits into one packet.
 const MAX_ITEMS: usize = 50;
-/// Maximum number of items of one datagram with evidence, which are larger.
-const MAX_EVIDENCE_ITEMS: usize = 16;
-/// Maximum number of requests for the evidence of a host that has just been heard again.
-const MAX_EVIDENCE_REQUESTS: u8 = 6;
+/// Maximum number of items of one datagram with evidence, whose items are larger.
+const MAX_SYNC_ITEMS: usize = 16;
+/// Maximum number of requests for the state of a host that has just been heard again.
+const MAX_SYNC_REQUESTS: u8 = 6;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Key of the tag on each datagram. It is not secret, because the platform gives hosts no shared
@@ -66,7 +66,7 @@
     placer: Arc<Placer>,
     records: Records,
     contacts: Mutex<Contacts>,
-    /// Hosts whose evidence is missing, with the number of requests for it that are left.
+    /// Hosts whose state is missing, with the number of requests for it that are left.
     unsynced: Mutex<BTreeMap<Host, u8>>,
     inboxes: Arc<Inboxes>,
 }
@@ -188,9 +188,10 @@
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
                 self.send_items(snapshot, Scope::Snapshot { frames }, placements)
                     .await;
-                let repeated = self.records.quarantine.repeated();
+                let mut repeated = self.records.quarantine.repeated();
+                repeated.extend(self.records.notices.repeated_limits());
                 self.send_items(snapshot, Scope::Updates, repeated).await;
-                self.request_evidence();
+                self.request_state();
             } else {
                 sleep(BATCH_WINDOW).await;
                 let mut updates = self.placer.take_updates();
@@ -225,9 +226,9 @@
         }
     }
 
-    /// Asks hosts that were not heard for a while for all their evidence, and sends them that of this
-    /// host.
-    fn request_evidence(&self) {
+    /// Asks hosts that were not heard for a while for what they know, and sends them what this host
+    /// knows.
+    fn request_state(&self) {
         let targets: Vec<_> = {
             let contacts = self.contacts.lock();
             let mut unsynced = self.unsynced.lock();
@@ -239,17 +240,18 @@
             targets.collect()
         };
         for address in targets {
-            self.send_evidence(address, Item::EvidenceRequest);
+            self.send_state(address, Item::SyncRequest);
         }
     }
 
-    /// Sends all evidence of this host, and `last` after it. What the socket does not take at once is
+    /// Sends all evidence and limits that this host knows, and `last` after them. What the socket does not take at once is
     /// lost and requested again.
-    fn send_evidence(&self, address: SocketAddr, last: Item) {
+    fn send_state(&self, address: SocketAddr, last: Item) {
         let mut items = self.records.quarantine.all();
+        items.extend(self.records.notices.limits());
         items.push(last);
         let snapshot = self.snapshot.load(Ordering::Relaxed);
-        for chunk in items.chunks(MAX_EVIDENCE_ITEMS) {
+        for chunk in items.chunks(MAX_SYNC_ITEMS) {
             let frame = self.build_frame(snapshot, Scope::Updates, chunk.to_vec());
             let sent = datagram::encode(TAG_KEY, &frame)
                 .map_err(|error| error.to_string())
@@ -318,9 +320,9 @@
             self.placer.drop_holder(previous);
         }
         if heard != Heard::Known {
-            let requests = MAX_EVIDENCE_REQUESTS - 1;
+            let requests = MAX_SYNC_REQUESTS - 1;
             self.unsynced.lock().insert(host.clone(), requests);
-            self.send_evidence(from, Item::EvidenceRequest);
+            self.send_state(from, Item::SyncRequest);
         }
         self.records.peer_version.raise(frame.version);
         self.records
@@ -334,11 +336,16 @@
                 }
                 Item::StoreRead(read) => self.inboxes.push(read.clone(), now),
                 Item::Evidence(evidence) => self.records.quarantine.apply(evidence),
-                Item::EvidenceRequest => self.send_evidence(from, Item::EvidenceEnd),
-                Item::EvidenceEnd => {
+                Item::SyncRequest => self.send_state(from, Item::SyncEnd),
+                Item::SyncEnd => {
                     self.unsynced.lock().remove(&host);
                     self.records.quarantine.record_synced();
                 }
+                Item::Limit(limit) => self.records.notices.apply_forwarded_limit(limit),
+                Item::Request(identity) => {
+                    let notices = &self.records.notices;
+                    notices.apply_forwarded_request(Identity(*identity));
+                }
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -8,6 +8,7 @@
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
+use kernel::pace::Rate;
 use kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -147,7 +148,7 @@
                 return Ok(placement);
             }
             sleep(CLAIM_WINDOW).await;
-            if self.settle_claim(service, id) {
+            if self.settle_claim(service, id, placement.plan.primary) {
                 return Ok(placement);
             }
             observe::count_lost_claim();
@@ -181,11 +182,21 @@
         decision
     }
 
-    fn settle_claim(&self, service: &Service, id: LoadId) -> bool {
+    /// Settles the claim on a plan, and tells the other hosts if its request takes a turn at a limited
+    /// engine.
+    fn settle_claim(&self, service: &Service, id: LoadId, primary: Identity) -> bool {
+        let now = self.clock.now();
         let mut queues = self.queues.lock();
-        queues
-            .get_mut(service)
-            .is_some_and(|queue| queue.pool.settle(id))
+        let Some(queue) = queues.get_mut(service) else {
+            return false;
+        };
+        let holds = queue.pool.settle(id, primary, now);
+        let takes_turn = holds && queue.pool.is_limited(primary);
+        drop(queues);
+        if takes_turn {
+            self.push_update(Item::Request(primary.0));
+        }
+        holds
     }
 
     /// Starts or refuses the waiting requests of all services, as far as this can be decided now.
@@ -319,7 +330,38 @@
         }
     }
 
-    fn push_update(&self, item: Item) {
+    /// Records what an engine stated about its limit at `at`; returns whether this changes the limit, or
+    /// `None` if no pool has the engine.
+    pub fn observe_limit(
+        &self,
+        engine: Identity,
+        limit: Option<Rate>,
+        at: Instant,
+    ) -> Option<bool> {
+        let mut queues = self.queues.lock();
+        let mut pools = queues.values_mut().map(|queue| &mut queue.pool);
+        pools.find_map(|pool| pool.observe_limit(engine, limit, at))
+    }
+
+    /// Records that another host sends a request to a limited engine; returns whether a pool has the
+    /// engine.
+    pub fn record_request(&self, engine: Identity) -> bool {
+        let now = self.clock.now();
+        let mut queues = self.queues.lock();
+        let mut pools = queues.values_mut().map(|queue| &mut queue.pool);
+        pools.any(|pool| pool.record_request(engine, now))
+    }
+
+    /// Returns the engines that have named limits, with what they stated last and when.
+    #[must_use]
+    pub fn limits(&self) -> Vec<(Identity, Option<Rate>, Instant)> {
+        let queues = self.queues.lock();
+        let pools = queues.values().map(|queue| &queue.pool);
+        pools.flat_map(Pool::limits).collect()
+    }
+
+    /// Queues an update for the other hosts.
+    pub fn push_update(&self, item: Item) {
         self.updates.lock().push(item);
         self.updated.notify_one();
     }
@@ -406,8 +448,10 @@
             Item::Leaving(_)
             | Item::StoreRead(_)
             | Item::Evidence(_)
-            | Item::EvidenceRequest
-            | Item::EvidenceEnd => {}
+            | Item::SyncRequest
+            | Item::SyncEnd
+            | Item::Limit(_)
+            | Item::Request(_) => {}
         }
     }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -32,6 +32,7 @@
 impl<'a> ActiveCall<'a> {
     fn start(pipeline: &'a Pipeline, endpoint: Identity) -> Self {
         pipeline.balancer.lock().record_start(endpoint);
+        pipeline.notices.record_call(endpoint);
         Self { pipeline, endpoint }
     }
 }
@@ -105,8 +106,8 @@
     let now = pipeline.clock.now();
     let picked = balancer.pick(ready.iter(), attempts.excluded(), &pipeline.domain, now);
     picked.cloned().ok_or_else(|| {
-        let backoff = balancer.shortest_backoff(ready.iter(), now);
-        backoff.map_or(GiveUp::Exhausted, GiveUp::Refused)
+        let wait = balancer.shortest_wait(ready.iter(), now);
+        wait.map_or(GiveUp::Exhausted, GiveUp::Refused)
     })
 }
 
@@ -117,7 +118,8 @@
     retry_allowed: bool,
 ) -> Outcome {
     let _active_call = ActiveCall::start(pipeline, entry.identity());
-    let remaining = accepted.deadline.since(pipeline.clock.now());
+    let sent_at = pipeline.clock.now();
+    let remaining = accepted.deadline.since(sent_at);
     let forwarding = Forwarding {
         endpoint: &entry.name,
         workspace: accepted.workspace.as_ref(),
@@ -135,7 +137,7 @@
         let exchange = pipeline.dialer.send(entry.address, request).await?;
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
-        pipeline.handle_notice(entry, head);
+        pipeline.handle_notice(entry, head, sent_at);
         let class = pipeline
             .dialect
             .classify_response(id, head.status, &head.headers);
--- a/crates/relay/src/reservation.rs
+++ b/crates/relay/src/reservation.rs
@@ -80,10 +80,11 @@
 
 impl Commands {
     async fn run(&self, engine: &Entry, command: impl Future<Output = Reply>) -> Result<(), Error> {
+        let sent_at = self.notices.clock.now();
         let Ok(reply) = timeout(ENGINE_TIMEOUT, command).await else {
             return Err(Error::Uncertain("no answer in time".to_owned()));
         };
-        self.notices.apply(engine, reply.notice);
+        self.notices.apply(engine, reply.notice, sent_at);
         reply.result
     }
 
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -223,7 +223,8 @@
             self.attempts.exhaust();
             return Err(None);
         }
-        let remaining = self.accepted.deadline.since(pipeline.clock.now());
+        let sent_at = pipeline.clock.now();
+        let remaining = self.accepted.deadline.since(sent_at);
         let forwarding = Forwarding {
             endpoint: &engine.name,
             workspace: self.accepted.workspace.as_ref(),
@@ -241,6 +242,8 @@
         let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
         match sent {
             Ok(Ok(exchange)) => {
+                self.pipeline
+                    .handle_notice(&engine, &exchange.head, sent_at);
                 self.check_head(exchange, placement, engine, reservations)
                     .await
             }
@@ -274,7 +277,6 @@
     ) -> Result<Upstream, Option<(response::Parts, Bytes)>> {
         let id = self.accepted.metadata.id.as_deref();
         let head = &exchange.head;
-        self.pipeline.handle_notice(&engine, head);
         let dialect = &self.pipeline.dialect;
         let class = dialect.classify_response(id, head.status, &head.headers);
         match class {
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -55,10 +55,26 @@
     StoreRead(Read),
     /// Evidence about a segment that may crash engines.
     Evidence(Evidence),
-    /// The receiver is to send all its evidence.
-    EvidenceRequest,
-    /// The sender has sent all its evidence.
-    EvidenceEnd,
+    /// The receiver is to send all its evidence and the limits that it knows.
+    SyncRequest,
+    /// The sender has sent all its evidence and the limits that it knows.
+    SyncEnd,
+    /// The limit of an endpoint has changed.
+    Limit(Limit),
+    /// The sender sends a request to the endpoint with this identity, which names a limit.
+    Request(u64),
+}
+
+/// The limit that an endpoint names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Identity of the endpoint's incarnation.
+    pub endpoint: u64,
+    /// Requests in 1,000 seconds that the endpoint accepts from all hosts together; `None` if it no
+    /// longer names a limit.
+    pub per_1000_s: Option<u32>,
+    /// Age of the endpoint's statement, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// A read of one topic of the store.
