--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -84,6 +84,9 @@
 
     /// Waits until [`Quarantine::is_synced`].
     async fn wait_until_synced(&self) {
+        if self.is_synced() {
+            return;
+        }
         let mut synced = self.synced.subscribe();
         // Time out or not, the request is decided on now.
         let _ = timeout_at(self.sync_deadline, synced.wait_for(|synced| *synced)).await;
