--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! Quarantine of segments that crash engines.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use filbertstage_kernel::catalogue::Identity;
@@ -8,6 +9,8 @@
 use filbertstage_kernel::quarantine::{Crash, Evidence, Quarantine, Verdict};
 use filbertstage_kernel::segment::Segment;
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 /// A segment that all requests share, as the first one of a prompt.
@@ -243,3 +246,108 @@
         prop_assert_eq!(quarantined(&one), quarantined(&synced));
     }
 }
+
+/// Hosts that send requests with a lethal segment and exchange evidence.
+struct Fleet {
+    hosts: Vec<Quarantine>,
+    rng: SmallRng,
+    /// Evidence by the millisecond of its arrival, with the index of the receiver.
+    arriving: BTreeMap<u64, Vec<(usize, Evidence)>>,
+    /// Time until which the first half of the hosts is cut off from the others.
+    cut_until: u64,
+}
+
+impl Fleet {
+    fn is_cut(&self, from: usize, to: usize, now: u64) -> bool {
+        let half = self.hosts.len() / 2;
+        now < self.cut_until && (from < half) != (to < half)
+    }
+
+    /// Sends evidence to all other hosts, now and with the next four snapshots.
+    fn broadcast(&mut self, from: usize, now: u64, evidence: &Evidence) {
+        /// Share of the datagrams that are lost.
+        const LOST: f64 = 0.03;
+        for to in (0..self.hosts.len()).filter(|to| *to != from) {
+            for sent_at in (0..5).map(|repeat| now + repeat * 500) {
+                if !self.rng.random_bool(LOST) && !self.is_cut(from, to, sent_at) {
+                    let arrives_at = sent_at + self.rng.random_range(2..9);
+                    let arriving = self.arriving.entry(arrives_at).or_default();
+                    arriving.push((to, evidence.clone()));
+                }
+            }
+        }
+    }
+
+    /// After a cut, each host sends all its evidence to the others.
+    fn sync(&mut self, now: u64) {
+        for from in 0..self.hosts.len() {
+            for evidence in self.hosts[from].evidence() {
+                self.broadcast(from, now, &evidence);
+            }
+        }
+    }
+}
+
+/// Guards against hosts that each crash engines to learn of the same lethal segment (BUDGET): three
+/// seconds after the fifth crash, three requests at most may still reach an engine.
+#[rstest]
+#[case::few_hosts(4, 300, 0)]
+#[case::many_hosts(78, 60, 0)]
+#[case::many_hosts_and_two_halves(78, 60, 20_000)]
+fn lethal_segment_reaches_few_engines_of_the_whole_fleet(
+    #[case] hosts: usize,
+    #[case] request_every_ms: u64,
+    #[case] cut_until: u64,
+) {
+    const TIME_MS: u64 = 120_000;
+    /// Time from sending a request to the crash of its engine.
+    const CRASH_AFTER_MS: u64 = 150;
+    let mut fleet = Fleet {
+        hosts: vec![Quarantine::default(); hosts],
+        rng: SmallRng::seed_from_u64(7),
+        arriving: BTreeMap::new(),
+        cut_until,
+    };
+    let mut crashing: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+    let (mut sent, mut ended) = (Vec::new(), Vec::new());
+    for now in 1_000..TIME_MS {
+        for (to, evidence) in fleet.arriving.remove(&now).unwrap_or_default() {
+            fleet.hosts[to].apply(evidence, at(now));
+        }
+        for host in crashing.remove(&now).unwrap_or_default() {
+            ended.push(now);
+            let crash = crash(ended.len() as u64, now, &[COMMON, LETHAL]);
+            fleet.hosts[host].record_crash(crash.clone(), at(now));
+            fleet.broadcast(host, now, &Evidence::Crash(crash));
+        }
+        if cut_until > 0 && now == cut_until {
+            fleet.sync(now);
+        }
+        if now.is_multiple_of(request_every_ms) {
+            let host = fleet.rng.random_range(0..hosts);
+            let (verdict, evidence) = fleet.hosts[host].admit(&[COMMON, LETHAL], at(now));
+            for evidence in evidence {
+                fleet.broadcast(host, now, &evidence);
+            }
+            if !matches!(verdict, Verdict::Refused(_)) {
+                sent.push(now);
+                crashing.entry(now + CRASH_AFTER_MS).or_default().push(host);
+            }
+        }
+    }
+    if let Some(fifth) = ended.get(4) {
+        let late = sent.iter().filter(|time| **time > fifth + 3_000).count();
+        assert!(
+            late <= 3,
+            "{late} requests later than 3 s after the fifth crash: {sent:?}"
+        );
+    }
+    // Five requests, and in each of two halves those that are under way when the fifth engine crashes.
+    let soon = sent.iter().filter(|time| **time < 5_000).count();
+    assert!(soon <= 10, "{soon} requests before hosts knew: {sent:?}");
+    assert!(
+        ended.len() <= 16,
+        "{} crashes in two minutes: {sent:?}",
+        ended.len()
+    );
+}
