--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -345,6 +345,7 @@
     // Five requests, and in each of two halves those that are under way when the fifth engine crashes.
     let soon = sent.iter().filter(|time| **time < 5_000).count();
     assert!(soon <= 10, "{soon} requests before hosts knew: {sent:?}");
+    // In each of two halves, five crashes and three later ones.
     assert!(
         ended.len() <= 16,
         "{} crashes in two minutes: {sent:?}",
