Search only new bytes for the end of an event

An engine that sends an event without end cost time that grows with the square of the bytes: each chunk searched the whole buffer of up to 1 MiB again. Only the new bytes can complete an event.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -27,8 +27,10 @@
     ///
     /// Returns `None` if `bytes` complete no event and the incomplete event exceeds 1 MiB.
     pub fn feed(&mut self, bytes: &[u8]) -> Option<Vec<u8>> {
+        // No event ends in the bytes that are already there.
+        let searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.partial) else {
+        let Some(end) = last_boundary(&self.partial, searched) else {
             return (self.partial.len() <= MAX_EVENT_BYTES).then(Vec::new);
         };
         let rest = self.partial.split_off(end);
@@ -67,9 +69,10 @@
     }
 }
 
-/// Returns the end of the last complete event in `bytes`, which start at the beginning of a line.
-fn last_boundary(bytes: &[u8]) -> Option<usize> {
-    (0..bytes.len())
+/// Returns the end of the last complete event in `bytes` that ends at `from` or later. The bytes start
+/// at the beginning of a line.
+fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
+    (from..bytes.len())
         .rev()
         .find(|index| ends_event(bytes, *index))
         .map(|index| index + 1)
