Treat a stream that ends with its connection before any event as broken

A response without a length or chunks ends with its connection. If an engine ended after the head and before the first event, the client got 200 and an empty stream that looked complete, and the host took it for a success. Such a stream is now broken off, or resumed at another engine where the route allows it.

--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -13,7 +13,7 @@
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::observe;
-use crate::transport::Reachability;
+use crate::transport::{Exchange, Reachability};
 
 /// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
 /// after 2 s.
@@ -21,6 +21,8 @@
 
 /// Logged reason for a stream that ended inside an event.
 const PARTIAL_EVENT: &str = "the stream ended inside an event";
+/// Logged reason for a stream that ended with its connection before any event.
+const NO_EVENT: &str = "the connection ended before the first event";
 /// Logged reason for a stream with an event above the size limit.
 const OVERSIZED_EVENT: &str = "an event exceeds the size limit";
 
@@ -139,10 +141,7 @@
                 };
                 let bytes = match received {
                     Ok(Some(bytes)) => bytes,
-                    Ok(None) if splitter.has_partial() => {
-                        return Some(End::Broken(PARTIAL_EVENT.to_owned()));
-                    }
-                    Ok(None) => return Some(End::Complete),
+                    Ok(None) => return Some(end_of_body(&upstream.exchange, splitter)),
                     Err(failure) => return Some(End::Broken(failure.to_string())),
                 };
                 match splitter.feed(&bytes) {
@@ -266,10 +265,7 @@
             };
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if splitter.has_partial() => {
-                    return End::Broken(PARTIAL_EVENT.to_owned());
-                }
-                Ok(Ok(None)) => return End::Complete,
+                Ok(Ok(None)) => return end_of_body(&upstream.exchange, splitter),
                 Ok(Err(failure)) => return End::Broken(failure.to_string()),
                 Err(_) if event_timeout >= remaining => return End::Expired,
                 Err(_) => {
@@ -319,3 +315,18 @@
         );
     }
 }
+
+/// Returns whether a body that has ended regularly is the whole answer.
+///
+/// The end of its connection is the regular end of a body without a length. If no event came before
+/// it, the engine had not begun.
+fn end_of_body(exchange: &Exchange, splitter: &Splitter) -> End {
+    let has_answer = splitter.events() > 0 || splitter.last_id().is_some();
+    if splitter.has_partial() {
+        End::Broken(PARTIAL_EVENT.to_owned())
+    } else if has_answer || exchange.is_framed() {
+        End::Complete
+    } else {
+        End::Broken(NO_EVENT.to_owned())
+    }
+}
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, HeaderMap};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -350,6 +350,13 @@
         Ok((head, whole.freeze()))
     }
 
+    /// Whether the body has a length or comes in chunks. If not, it ends with the connection.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Keeps the connection for reuse after the end of the body, unless the peer closes it.
     pub fn finish(self) {
         self.connection.finish(&self.head.headers);
