Ask announced hosts for their evidence at once, in datagrams that fit

It now asks as soon as it reads an announcement. Evidence is also sent in smaller datagrams when it is new or repeated: 50 pieces of it exceeded the largest datagram and would have been dropped.

--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -150,9 +150,13 @@
         }
         let now = self.clock.now();
         let Location { address, domain } = location;
-        let mut contacts = self.contacts.lock();
-        if contacts.announce(host, *address, domain, now) {
-            log::info!("event=host_announced host={host} address={address} domain={domain}");
+        if !self.contacts.lock().announce(host, *address, domain, now) {
+            return;
+        }
+        log::info!("event=host_announced host={host} address={address} domain={domain}");
+        if !self.records.quarantine.is_synced() {
+            // Requests wait for this, so it does not wait for the next snapshot.
+            self.send_state(*address, Item::SyncRequest);
         }
     }
 
@@ -216,7 +220,13 @@
         if addresses.is_empty() {
             return;
         }
-        let mut chunks: Vec<&[Item]> = items.chunks(MAX_ITEMS).collect();
+        let has_evidence = items.iter().any(|item| matches!(item, Item::Evidence(_)));
+        let most = if has_evidence {
+            MAX_SYNC_ITEMS
+        } else {
+            MAX_ITEMS
+        };
+        let mut chunks: Vec<&[Item]> = items.chunks(most).collect();
         if chunks.is_empty() && scope != Scope::Updates {
             chunks.push(&[]);
         }
