--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -3,8 +3,8 @@
 //! A segment may crash every engine that begins an answer on it. Nothing else tells such a request
 //! from sound ones: its caller, route, length and other segments are shared with them.
 //!
-//! - A run whose engine crashed soon after it began the answer accuses the segments of its prompt.
-//!   The other runs of that engine accuse nothing.
+//! - If an engine crashes soon after it began an answer, this counts against the segments of that
+//!   run's prompt. The other runs of the engine are victims and count against nothing.
 //! - A complete answer that began later clears its segments of that crash.
 //! - A segment is quarantined if several engines crashed on it at different times, and no segment
 //!   that is quarantined already explains these crashes.
@@ -45,8 +45,8 @@
 const MAX_COMPLETED: usize = 4_096;
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of segments that one run accuses. Those without a completed answer go first.
-pub const MAX_ACCUSED: usize = 16;
+/// Maximum number of segments that one crash counts against. Those without a completed answer go first.
+pub const MAX_SEGMENTS: usize = 16;
 
 /// A run whose engine crashed soon after it began the answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,7 +97,7 @@
 
 /// Why and until when a segment is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sentence {
+pub struct Entry {
     /// Number of engines that crashed on the segment.
     pub engines: usize,
     /// Time of the first of these crashes.
@@ -109,18 +109,18 @@
 }
 
 #[derive(Clone, Debug)]
-struct Case {
+struct Report {
     crash: Crash,
     cleared: BTreeSet<Segment>,
 }
 
-impl Case {
-    fn accuses(&self, segment: Segment) -> bool {
-        self.position_accused(segment).is_some()
+impl Report {
+    fn counts_against(&self, segment: Segment) -> bool {
+        self.position_counted(segment).is_some()
     }
 
-    /// Returns the position in the prompt of a segment that the case accuses.
-    fn position_accused(&self, segment: Segment) -> Option<usize> {
+    /// Returns the position in the prompt of a segment against which the crash counts.
+    fn position_counted(&self, segment: Segment) -> Option<usize> {
         let mut segments = self.crash.segments.iter();
         let position = segments.position(|other| *other == segment)?;
         (!self.cleared.contains(&segment)).then_some(position)
@@ -130,34 +130,34 @@
 /// Evidence about segments, and the quarantine that follows from it.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    cases: Vec<Case>,
+    reports: Vec<Report>,
     /// By segment, the time at which an answer was last completed.
     completed: HashMap<Segment, Instant>,
     /// By segment, the last probe.
     probes: BTreeMap<Segment, Probe>,
-    quarantined: BTreeMap<Segment, Sentence>,
+    quarantined: BTreeMap<Segment, Entry>,
 }
 
 impl Quarantine {
     /// Records that an engine crashed; returns whether this was unknown.
     pub fn record_crash(&mut self, mut crash: Crash, now: Instant) -> bool {
         self.forget_old(now);
-        let mut cases = self.cases.iter();
-        let known = cases.any(|case| case.crash.run == crash.run);
+        let mut reports = self.reports.iter();
+        let known = reports.any(|report| report.crash.run == crash.run);
         if known || crash.segments.is_empty() || now.since(crash.ended) >= CRASH_MEMORY {
             return false;
         }
-        if crash.segments.len() > MAX_ACCUSED {
+        if crash.segments.len() > MAX_SEGMENTS {
             let completed = &self.completed;
             crash
                 .segments
                 .sort_by_key(|segment| completed.contains_key(segment));
-            crash.segments.truncate(MAX_ACCUSED);
+            crash.segments.truncate(MAX_SEGMENTS);
         }
-        if self.cases.len() >= MAX_CRASHES {
-            self.drop_weakest_case();
+        if self.reports.len() >= MAX_CRASHES {
+            self.drop_weakest_report();
         }
-        self.cases.push(Case {
+        self.reports.push(Report {
             crash,
             cleared: BTreeSet::new(),
         });
@@ -183,20 +183,23 @@
         self.clear_where(|crash, segment| crash.began < began && segments.contains(&segment))
     }
 
-    /// Dismisses all crashes so far that count against a segment, on an operator's request; returns
-    /// what this changes. The other segments of these prompts are not accused in its place.
-    pub fn dismiss(&mut self, dismissed: Segment) -> Vec<Evidence> {
-        let cases = self.cases.iter().filter(|case| case.accuses(dismissed));
-        let runs: BTreeSet<_> = cases.map(|case| case.crash.run).collect();
+    /// Clears all crashes so far that count against a segment, on an operator's request; returns
+    /// what this changes. They do not count against the other segments of these prompts instead.
+    pub fn clear(&mut self, cleared: Segment) -> Vec<Evidence> {
+        let reports = self
+            .reports
+            .iter()
+            .filter(|report| report.counts_against(cleared));
+        let runs: BTreeSet<_> = reports.map(|report| report.crash.run).collect();
         self.clear_where(|crash, _| runs.contains(&crash.run))
     }
 
     fn clear_where(&mut self, is_cleared: impl Fn(&Crash, Segment) -> bool) -> Vec<Evidence> {
         let mut evidence = Vec::new();
-        for case in &mut self.cases {
-            for segment in &case.crash.segments {
-                if is_cleared(&case.crash, *segment) && case.cleared.insert(*segment) {
-                    evidence.push(Evidence::Cleared(case.crash.run, *segment));
+        for report in &mut self.reports {
+            for segment in &report.crash.segments {
+                if is_cleared(&report.crash, *segment) && report.cleared.insert(*segment) {
+                    evidence.push(Evidence::Cleared(report.crash.run, *segment));
                 }
             }
         }
@@ -216,9 +219,12 @@
     }
 
     fn apply_cleared(&mut self, run: LoadId, segment: Segment) -> bool {
-        let case = self.cases.iter_mut().find(|case| case.crash.run == run);
-        let new = case.is_some_and(|case| {
-            case.crash.segments.contains(&segment) && case.cleared.insert(segment)
+        let report = self
+            .reports
+            .iter_mut()
+            .find(|report| report.crash.run == run);
+        let new = report.is_some_and(|report| {
+            report.crash.segments.contains(&segment) && report.cleared.insert(segment)
         });
         if new {
             self.update();
@@ -229,8 +235,13 @@
     fn apply_probe(&mut self, segment: Segment, probe: Probe) -> bool {
         let known = self.probes.get(&segment);
         let new = known.is_none_or(|known| known.number < probe.number);
-        // A segment that nothing accuses needs no probe.
-        if !new || !self.cases.iter().any(|case| case.accuses(segment)) {
+        // A segment without crashes needs no probe.
+        if !new
+            || !self
+                .reports
+                .iter()
+                .any(|report| report.counts_against(segment))
+        {
             return false;
         }
         self.probes.insert(segment, probe);
@@ -242,8 +253,8 @@
     /// share if it is a probe.
     pub fn admit(&mut self, segments: &[Segment], now: Instant) -> (Verdict, Vec<Evidence>) {
         let held = segments.iter().filter_map(|segment| {
-            let sentence = self.quarantined.get(segment)?;
-            Some((*segment, sentence.probe_due.since(now)))
+            let entry = self.quarantined.get(segment)?;
+            Some((*segment, entry.probe_due.since(now)))
         });
         let held: Vec<_> = held.collect();
         match held.iter().map(|(_, rest)| *rest).max() {
@@ -283,27 +294,27 @@
         now: Instant,
     ) -> Option<Duration> {
         let held = segments.iter().filter_map(|segment| {
-            let sentence = self.quarantined.get(segment)?;
-            let may_test = verdict == Verdict::Probe && sentence.last_crash < admitted_at;
-            (!may_test).then(|| sentence.probe_due.since(now))
+            let entry = self.quarantined.get(segment)?;
+            let may_test = verdict == Verdict::Probe && entry.last_crash < admitted_at;
+            (!may_test).then(|| entry.probe_due.since(now))
         });
         held.max()
     }
 
     /// Returns the quarantined segments.
-    pub fn quarantined(&self) -> impl Iterator<Item = (Segment, Sentence)> {
-        let sentences = self.quarantined.iter();
-        sentences.map(|(segment, sentence)| (*segment, *sentence))
+    pub fn quarantined(&self) -> impl Iterator<Item = (Segment, Entry)> {
+        let entries = self.quarantined.iter();
+        entries.map(|(segment, entry)| (*segment, *entry))
     }
 
     /// Returns all evidence, from which another host reaches the same verdict.
     #[must_use]
     pub fn evidence(&self) -> Vec<Evidence> {
         let mut evidence = Vec::new();
-        for case in &self.cases {
-            evidence.push(Evidence::Crash(case.crash.clone()));
-            let cleared = case.cleared.iter();
-            evidence.extend(cleared.map(|segment| Evidence::Cleared(case.crash.run, *segment)));
+        for report in &self.reports {
+            evidence.push(Evidence::Crash(report.crash.clone()));
+            let cleared = report.cleared.iter();
+            evidence.extend(cleared.map(|segment| Evidence::Cleared(report.crash.run, *segment)));
         }
         let probes = self.probes.iter();
         evidence.extend(probes.map(|(segment, probe)| Evidence::Probe(*segment, *probe)));
@@ -312,31 +323,31 @@
 
     /// Forgets crashes, probes and completed answers that are too old to matter.
     pub fn forget_old(&mut self, now: Instant) {
-        let count = self.cases.len();
-        self.cases
-            .retain(|case| now.since(case.crash.ended) < CRASH_MEMORY);
+        let count = self.reports.len();
+        self.reports
+            .retain(|report| now.since(report.crash.ended) < CRASH_MEMORY);
         self.probes
             .retain(|_, probe| now.since(probe.at) < CRASH_MEMORY);
         self.completed
             .retain(|_, at| now.since(*at) < COMPLETION_MEMORY);
-        if self.cases.len() < count {
+        if self.reports.len() < count {
             self.update();
         }
     }
 
     /// Makes room for another crash. The oldest one that no quarantined segment explains goes first,
     /// then the oldest of the segment with the most crashes.
-    fn drop_weakest_case(&mut self) {
-        let weight = |case: &Case| {
-            let segments = case.crash.segments.iter();
-            let sentences = segments.filter_map(|segment| self.quarantined.get(segment));
-            let most = sentences.map(|sentence| sentence.engines).max();
-            (most.is_some(), Reverse(most), case.crash.ended)
+    fn drop_weakest_report(&mut self) {
+        let weight = |report: &Report| {
+            let segments = report.crash.segments.iter();
+            let entries = segments.filter_map(|segment| self.quarantined.get(segment));
+            let most = entries.map(|entry| entry.engines).max();
+            (most.is_some(), Reverse(most), report.crash.ended)
         };
-        let cases = self.cases.iter().enumerate();
-        let weakest = cases.min_by_key(|(_, case)| weight(case));
+        let reports = self.reports.iter().enumerate();
+        let weakest = reports.min_by_key(|(_, report)| weight(report));
         if let Some((index, _)) = weakest {
-            self.cases.swap_remove(index);
+            self.reports.swap_remove(index);
         }
     }
 
@@ -346,50 +357,52 @@
     /// answer does, and then the one that stands later in the prompt, which fewer requests share.
     fn update(&mut self) {
         let mut suspects = self.suspects();
-        let mut unexplained: Vec<&Case> = self.cases.iter().collect();
+        let mut unexplained: Vec<&Report> = self.reports.iter().collect();
         let mut quarantined = BTreeMap::new();
         loop {
-            let guilty = suspects.iter().filter_map(|(segment, sentence)| {
+            let cause = suspects.iter().filter_map(|(segment, entry)| {
                 let positions = unexplained
                     .iter()
-                    .filter_map(|case| case.position_accused(*segment));
+                    .filter_map(|report| report.position_counted(*segment));
                 let (crashes, position) = (positions.clone().count(), positions.max()?);
-                let unheard = !self.completed.contains_key(segment);
-                Some((crashes, unheard, position, *segment, *sentence))
+                let unproven = !self.completed.contains_key(segment);
+                Some((crashes, unproven, position, *segment, *entry))
             });
-            let guilty = guilty.max_by_key(|(crashes, unheard, position, segment, _)| {
-                (*crashes, *unheard, *position, *segment)
+            let cause = cause.max_by_key(|(crashes, unproven, position, segment, _)| {
+                (*crashes, *unproven, *position, *segment)
             });
-            let Some((_, _, _, segment, sentence)) = guilty else {
+            let Some((_, _, _, segment, entry)) = cause else {
                 break;
             };
-            let accusing = unexplained.iter().filter(|case| case.accuses(segment));
-            let engines: BTreeSet<_> = accusing.map(|case| case.crash.engine).collect();
-            unexplained.retain(|case| !engines.contains(&case.crash.engine));
+            let counted = unexplained
+                .iter()
+                .filter(|report| report.counts_against(segment));
+            let engines: BTreeSet<_> = counted.map(|report| report.crash.engine).collect();
+            unexplained.retain(|report| !engines.contains(&report.crash.engine));
             suspects.remove(&segment);
-            quarantined.insert(segment, sentence);
+            quarantined.insert(segment, entry);
         }
         self.quarantined = quarantined;
     }
 
-    /// Returns the segments against which enough crashes count, each with its sentence.
-    fn suspects(&self) -> BTreeMap<Segment, Sentence> {
-        let mut accused: BTreeMap<Segment, Vec<&Crash>> = BTreeMap::new();
-        for case in &self.cases {
-            let segments = case.crash.segments.iter();
-            for segment in segments.filter(|segment| case.accuses(**segment)) {
-                accused.entry(*segment).or_default().push(&case.crash);
+    /// Returns the segments against which enough crashes count, each with its entry.
+    fn suspects(&self) -> BTreeMap<Segment, Entry> {
+        let mut counted: BTreeMap<Segment, Vec<&Crash>> = BTreeMap::new();
+        for report in &self.reports {
+            let segments = report.crash.segments.iter();
+            for segment in segments.filter(|segment| report.counts_against(**segment)) {
+                counted.entry(*segment).or_default().push(&report.crash);
             }
         }
-        accused.retain(|_, crashes| crashes.len() >= CRASHES);
-        let sentences = accused
+        counted.retain(|_, crashes| crashes.len() >= CRASHES);
+        let entries = counted
             .into_iter()
-            .filter_map(|(segment, crashes)| Some((segment, self.sentence(segment, crashes)?)));
-        sentences.collect()
+            .filter_map(|(segment, crashes)| Some((segment, self.entry(segment, crashes)?)));
+        entries.collect()
     }
 
-    /// Returns the sentence for a segment if the crashes that count against it suffice.
-    fn sentence(&self, segment: Segment, mut crashes: Vec<&Crash>) -> Option<Sentence> {
+    /// Returns the entry for a segment if the crashes that count against it suffice.
+    fn entry(&self, segment: Segment, mut crashes: Vec<&Crash>) -> Option<Entry> {
         crashes.sort_by_key(|crash| (crash.ended, crash.run));
         let mut engines = BTreeSet::new();
         crashes.retain(|crash| engines.insert(crash.engine));
@@ -407,7 +420,7 @@
         let time = FIRST_QUARANTINE * 2_u32.pow(u32::try_from(doublings).unwrap_or(0));
         let probe = self.probes.get(&segment);
         let since = probe.map_or(last, |probe| probe.at.max(last));
-        Some(Sentence {
+        Some(Entry {
             engines: crashes.len(),
             first_crash: *times.first()?,
             last_crash: last,
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -180,13 +180,13 @@
         (1_300, vec![COMMON, LETHAL]),
         (1_600, vec![COMMON, LETHAL]),
     ]);
-    quarantine.dismiss(LETHAL);
+    quarantine.clear(LETHAL);
     assert_eq!(quarantined(&quarantine), []);
     assert_eq!(
         verdict(&mut quarantine, &[LETHAL], 1_400),
         Verdict::Admitted
     );
-    assert!(quarantine.dismiss(LETHAL).is_empty());
+    assert!(quarantine.clear(LETHAL).is_empty());
 }
 
 fn arbitrary_evidence() -> impl Strategy<Value = Evidence> {
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -42,8 +42,8 @@
 /// secret. The tag detects datagrams that were damaged, but not forged ones.
 const TAG_KEY: &[u8] = b"filbertstage";
 
-/// What is recorded of the other hosts' reports, beside their placements.
-pub struct Records {
+/// The tables that the other hosts' reports change, beside placements.
+pub struct Tables {
     /// What endpoints announce about themselves.
     pub notices: Arc<Notices>,
     /// The hosts that share a limit.
@@ -64,7 +64,7 @@
     clock: Clock,
     registry: Arc<Registry>,
     placer: Arc<Placer>,
-    records: Records,
+    tables: Tables,
     contacts: Mutex<Contacts>,
     /// Hosts whose state is missing, with the number of requests for it that are left.
     unsynced: Mutex<BTreeMap<Host, u8>>,
@@ -79,7 +79,7 @@
         holder: u64,
         location: Location,
         socket: Arc<UdpSocket>,
-        records: Records,
+        tables: Tables,
     ) -> Self {
         Self {
             own,
@@ -87,10 +87,10 @@
             location,
             socket,
             snapshot: AtomicU32::new(0),
-            clock: records.notices.clock,
-            registry: Arc::clone(&records.notices.registry),
-            placer: Arc::clone(&records.notices.placer),
-            records,
+            clock: tables.notices.clock,
+            registry: Arc::clone(&tables.notices.registry),
+            placer: Arc::clone(&tables.notices.placer),
+            tables,
             contacts: Mutex::default(),
             unsynced: Mutex::default(),
             inboxes: Arc::default(),
@@ -154,7 +154,7 @@
             return;
         }
         log::info!("event=host_announced host={host} address={address} domain={domain}");
-        if !self.records.quarantine.is_synced() {
+        if !self.tables.quarantine.is_synced() {
             // Requests wait for this, so it does not wait for the next snapshot.
             self.send_state(*address, Item::SyncRequest);
         }
@@ -178,7 +178,7 @@
             let wait = next_snapshot.since(self.clock.now());
             let due = tokio::select! {
                 () = self.placer.updated.notified() => false,
-                () = self.records.quarantine.updated.notified() => false,
+                () = self.tables.quarantine.updated.notified() => false,
                 () = sleep(wait) => true,
             };
             if due {
@@ -192,14 +192,14 @@
                     u32::try_from(placements.chunks(MAX_ITEMS).len().max(1)).unwrap_or(u32::MAX);
                 self.send_items(snapshot, Scope::Snapshot { frames }, placements)
                     .await;
-                let mut repeated = self.records.quarantine.repeated();
-                repeated.extend(self.records.notices.repeated_limits());
+                let mut repeated = self.tables.quarantine.repeated();
+                repeated.extend(self.tables.notices.repeated_limits());
                 self.send_items(snapshot, Scope::Updates, repeated).await;
                 self.request_state();
             } else {
                 sleep(BATCH_WINDOW).await;
                 let mut updates = self.placer.take_updates();
-                updates.extend(self.records.quarantine.take_updates());
+                updates.extend(self.tables.quarantine.take_updates());
                 let snapshot = self.snapshot.load(Ordering::Relaxed);
                 self.send_items(snapshot, Scope::Updates, updates).await;
             }
@@ -257,8 +257,8 @@
     /// Sends all evidence and limits that this host knows, and `last` after them. What the socket does not take at once is
     /// lost and requested again.
     fn send_state(&self, address: SocketAddr, last: Item) {
-        let mut items = self.records.quarantine.all();
-        items.extend(self.records.notices.limits());
+        let mut items = self.tables.quarantine.all();
+        items.extend(self.tables.notices.limits());
         items.push(last);
         let snapshot = self.snapshot.load(Ordering::Relaxed);
         for chunk in items.chunks(MAX_SYNC_ITEMS) {
@@ -334,26 +334,26 @@
             self.unsynced.lock().insert(host.clone(), requests);
             self.send_state(from, Item::SyncRequest);
         }
-        self.records.peer_version.raise(frame.version);
-        self.records
+        self.tables.peer_version.raise(frame.version);
+        self.tables
             .fleet
             .lock()
             .record_heard(&host, frame.holder, now);
         for item in &frame.items {
             match item {
                 Item::Leaving(identity) => {
-                    self.records.notices.apply_forwarded(Identity(*identity));
+                    self.tables.notices.apply_forwarded(Identity(*identity));
                 }
                 Item::StoreRead(read) => self.inboxes.push(read.clone(), now),
-                Item::Evidence(evidence) => self.records.quarantine.apply(evidence),
+                Item::Evidence(evidence) => self.tables.quarantine.apply(evidence),
                 Item::SyncRequest => self.send_state(from, Item::SyncEnd),
                 Item::SyncEnd => {
                     self.unsynced.lock().remove(&host);
-                    self.records.quarantine.record_synced();
+                    self.tables.quarantine.record_synced();
                 }
-                Item::Limit(limit) => self.records.notices.apply_forwarded_limit(limit),
+                Item::Limit(limit) => self.tables.notices.apply_forwarded_limit(limit),
                 Item::Request(identity) => {
-                    let notices = &self.records.notices;
+                    let notices = &self.tables.notices;
                     notices.apply_forwarded_request(Identity(*identity));
                 }
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -7,7 +7,7 @@
 use kernel::catalogue::Identity;
 use kernel::clock::Instant;
 use kernel::place::LoadId;
-use kernel::quarantine::{self, Crash, Evidence, Probe, Sentence, Verdict};
+use kernel::quarantine::{self, Crash, Entry, Evidence, Probe, Verdict};
 use kernel::segment::Segment;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -129,7 +129,7 @@
 
     /// Waits until an admitted request must not be sent any more. Returns the time after which the
     /// client may retry.
-    pub async fn refused(&self, segments: &[Segment], admission: Admission) -> Duration {
+    pub async fn wait_until_refused(&self, segments: &[Segment], admission: Admission) -> Duration {
         loop {
             let changed = self.changed.notified();
             if let Err(rest) = self.recheck(segments, admission) {
@@ -145,12 +145,12 @@
         let now = self.clock.now();
         let table = self.table.lock();
         let held = table.quarantined();
-        for (segment, sentence) in held.filter(|(segment, _)| segments.contains(segment)) {
+        for (segment, entry) in held.filter(|(segment, _)| segments.contains(segment)) {
             log::info!(
                 "event=quarantined request={id} segment={segment} engines={} age_ms={} probe_in_ms={}",
-                sentence.engines,
-                now.since(sentence.first_crash).as_millis(),
-                sentence.probe_due.since(now).as_millis()
+                entry.engines,
+                now.since(entry.first_crash).as_millis(),
+                entry.probe_due.since(now).as_millis()
             );
         }
     }
@@ -186,16 +186,16 @@
         }
     }
 
-    fn log_changes(&self, before: &BTreeMap<Segment, Sentence>, table: &quarantine::Quarantine) {
+    fn log_changes(&self, before: &BTreeMap<Segment, Entry>, table: &quarantine::Quarantine) {
         let now = self.clock.now();
         let after: BTreeMap<_, _> = table.quarantined().collect();
-        for (segment, sentence) in &after {
-            if before.get(segment) != Some(sentence) {
+        for (segment, entry) in &after {
+            if before.get(segment) != Some(entry) {
                 log::warn!(
                     "event=segment_quarantined segment={segment} engines={} age_ms={} probe_in_ms={}",
-                    sentence.engines,
-                    now.since(sentence.first_crash).as_millis(),
-                    sentence.probe_due.since(now).as_millis()
+                    entry.engines,
+                    now.since(entry.first_crash).as_millis(),
+                    entry.probe_due.since(now).as_millis()
                 );
             }
         }
@@ -277,12 +277,12 @@
     fn list(&self) -> String {
         let now = self.clock.now();
         let table = self.table.lock();
-        let segments = table.quarantined().map(|(segment, sentence)| {
+        let segments = table.quarantined().map(|(segment, entry)| {
             json!({
                 "segment": segment.to_string(),
-                "engines": sentence.engines,
-                "age_ms": millis(now.since(sentence.first_crash)),
-                "probe_in_ms": millis(sentence.probe_due.since(now)),
+                "engines": entry.engines,
+                "age_ms": millis(now.since(entry.first_crash)),
+                "probe_in_ms": millis(entry.probe_due.since(now)),
             })
         });
         let segments: Vec<_> = segments.collect();
@@ -292,7 +292,7 @@
     fn clear(&self, segment: Segment) -> Response<Body> {
         let mut known = false;
         self.change(|table| {
-            let cleared = table.dismiss(segment);
+            let cleared = table.clear(segment);
             known = !cleared.is_empty();
             cleared
         });
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,7 +24,7 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::follow::{Follower, PeerVersion};
-use crate::hosts::{Hosts, Records};
+use crate::hosts::{Hosts, Tables};
 use crate::notice::Notices;
 use crate::observe;
 use crate::pipeline::Pipeline;
@@ -109,13 +109,13 @@
         };
         let synced = settings.start() == Start::First;
         let quarantine = Arc::new(Quarantine::new(clock, synced));
-        let records = Records {
+        let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
         };
-        let hosts = Arc::new(Hosts::new(own, holder, location, socket, records));
+        let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -137,7 +137,7 @@
             let quarantine = &self.pipeline.quarantine;
             let placed = tokio::select! {
                 biased;
-                rest = quarantine.refused(segments, self.admission) => {
+                rest = quarantine.wait_until_refused(segments, self.admission) => {
                     quarantine.log_refusal(self.accepted.id(), segments);
                     Err(GiveUp::Quarantined(rest))
                 }
