Resume a stream without a length whose engine ended with the connection

The end of the connection is the regular end of an answer without a length. Where the route allows resumption, the host now checks that the engine still accepts connections; if it refuses them, the stream goes on at another engine, which has nothing to add if the answer was whole.

--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -23,6 +23,8 @@
 const PARTIAL_EVENT: &str = "the stream ended inside an event";
 /// Logged reason for a stream that ended with its connection before any event.
 const NO_EVENT: &str = "the connection ended before the first event";
+/// Logged reason for a stream that ended with its connection, and its engine with it.
+const ENGINE_GONE: &str = "the engine ended with the connection";
 /// Logged reason for a stream with an event above the size limit.
 const OVERSIZED_EVENT: &str = "an event exceeds the size limit";
 
@@ -70,6 +72,9 @@
                     continue;
                 }
             }
+            if matches!(end, End::Complete) && self.ended_with_engine(&upstream).await {
+                end = End::Broken(ENGINE_GONE.to_owned());
+            }
             let reason = match end {
                 End::Complete => {
                     self.record_observation(&upstream.engine, Observation::Succeeded);
@@ -167,6 +172,16 @@
         None
     }
 
+    /// Returns whether an answer without a length ended because its engine did, so that there may be
+    /// more of it. If not, a resumed run has nothing left to send.
+    async fn ended_with_engine(&self, upstream: &Upstream) -> bool {
+        if !self.accepted.route.resumable || upstream.exchange.is_framed() {
+            return false;
+        }
+        let probed = self.pipeline.dialer.probe(upstream.engine.address).await;
+        probed == Reachability::Refuses
+    }
+
     /// Records that a run broke. If it had only just begun and its engine is gone, this is evidence
     /// that a segment of its prompt crashes engines.
     ///
@@ -215,7 +230,9 @@
             self.accepted.id(),
             upstream.engine.name
         );
-        if events > 0 {
+        // An answer without a length may be incomplete, unless `ended_with_engine` has checked it.
+        let complete = upstream.exchange.is_framed() || self.accepted.route.resumable;
+        if events > 0 && complete {
             let segments = &self.accepted.metadata.segments;
             let quarantine = &self.pipeline.quarantine;
             quarantine.record_completion(segments, upstream.began);
