Share a crash with the segments that the quarantine keeps of it

A crash was shared with all segments of its prompt, while the host's own table keeps 16 of them. A caller with a thousand segments could make the datagram too large to send, so that the other hosts learnt nothing.

--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -139,13 +139,13 @@
 }
 
 impl Quarantine {
-    /// Records that an engine crashed; returns whether this was unknown.
-    pub fn record_crash(&mut self, mut crash: Crash, now: Instant) -> bool {
+    /// Records that an engine crashed; returns the evidence to share, or `None` if it was known.
+    pub fn record_crash(&mut self, mut crash: Crash, now: Instant) -> Option<Evidence> {
         self.forget_old(now);
         let mut reports = self.reports.iter();
         let known = reports.any(|report| report.crash.run == crash.run);
         if known || crash.segments.is_empty() || now.since(crash.ended) >= CRASH_MEMORY {
-            return false;
+            return None;
         }
         if crash.segments.len() > MAX_SEGMENTS {
             let completed = &self.completed;
@@ -158,11 +158,11 @@
             self.drop_weakest_report();
         }
         self.reports.push(Report {
-            crash,
+            crash: crash.clone(),
             cleared: BTreeSet::new(),
         });
         self.update();
-        true
+        Some(Evidence::Crash(crash))
     }
 
     /// Records a complete answer that began at `began`; returns what it clears.
@@ -212,7 +212,7 @@
     /// Applies evidence of another host; returns whether it was unknown.
     pub fn apply(&mut self, evidence: Evidence, now: Instant) -> bool {
         match evidence {
-            Evidence::Crash(crash) => self.record_crash(crash, now),
+            Evidence::Crash(crash) => self.record_crash(crash, now).is_some(),
             Evidence::Cleared(run, segment) => self.apply_cleared(run, segment),
             Evidence::Probe(segment, probe) => self.apply_probe(segment, probe),
         }
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -170,7 +170,11 @@
         quarantine.record_crash(crash(number, 2_000 + number, &invented), at(2_000 + number));
     }
     assert_eq!(quarantined(&quarantine), [LETHAL]);
-    assert!(quarantine.evidence().len() < 200);
+    let evidence = quarantine.evidence();
+    assert!(evidence.len() < 200);
+    let fits =
+        |item: &Evidence| !matches!(item, Evidence::Crash(crash) if crash.segments.len() > 16);
+    assert!(evidence.iter().all(fits));
 }
 
 #[test]
@@ -317,8 +321,8 @@
         for host in crashing.remove(&now).unwrap_or_default() {
             ended.push(now);
             let crash = crash(ended.len() as u64, now, &[COMMON, LETHAL]);
-            fleet.hosts[host].record_crash(crash.clone(), at(now));
-            fleet.broadcast(host, now, &Evidence::Crash(crash));
+            let evidence = fleet.hosts[host].record_crash(crash, at(now));
+            fleet.broadcast(host, now, &evidence.expect("a new crash"));
         }
         if cut_until > 0 && now == cut_until {
             fleet.sync(now);
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,5 +1,5 @@
-//! Handles what endpoints announce about themselves: that they leave, or want no requests for a
-//! while.
+//! Handles what endpoints announce about themselves: that they leave, want no requests for a while, or
+//! accept them at a limited rate.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -159,10 +159,7 @@
     pub fn record_crash(&self, crash: Crash) {
         observe::count_quarantine("crash");
         let now = self.clock.now();
-        self.change(|table| {
-            let new = table.record_crash(crash.clone(), now);
-            new.then_some(Evidence::Crash(crash)).into_iter().collect()
-        });
+        self.change(|table| table.record_crash(crash, now).into_iter().collect());
     }
 
     /// Records a complete answer that began at `began`.
