--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -99,15 +99,28 @@
         })
     }
 
-    /// Returns the time after which the first of the endpoints that want no requests, or whose next
-    /// turn is later, accepts one. Returns `None` if there is no such endpoint.
-    pub fn shortest_wait<'a>(
+    /// Returns the time after which a refused client may come back: when the first of the endpoints
+    /// that want no requests, or whose next turn is later, accepts one. Returns `None` if there is no
+    /// such endpoint.
+    ///
+    /// All hosts work out the same next turn. So that the clients that they refuse meanwhile do not
+    /// all come back at that turn, they are spread over the time to the turn after it by `random`,
+    /// from 0 to 1.
+    pub fn retry_after<'a>(
         &self,
         entries: impl Iterator<Item = &'a Entry>,
+        random: f64,
         now: Instant,
     ) -> Option<Duration> {
-        let waits = entries.map(|entry| self.wait(entry.identity(), now));
-        waits.filter(|wait| !wait.is_zero()).min()
+        let waits = entries.filter_map(|entry| {
+            let identity = entry.identity();
+            let wait = self.wait(identity, now);
+            let stats = self.endpoints.get(&identity)?;
+            let interval = stats.pacer.limit().map(Rate::interval);
+            (!wait.is_zero()).then_some((wait, interval.unwrap_or_default()))
+        });
+        let (wait, interval) = waits.min()?;
+        Some(wait + interval.mul_f64(random.clamp(0.0, 1.0)))
     }
 
     /// Records a limit that an endpoint stated at `at`, or that it stated none; returns whether this
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -3,6 +3,7 @@
 use http::{Response, StatusCode, response};
 use kernel::catalogue::{Entry, Identity};
 use kernel::outlier::Observation;
+use rand::Rng;
 use tokio::time::timeout;
 
 use crate::adapter::{Forwarding, ResponseClass};
@@ -106,7 +107,7 @@
     let now = pipeline.clock.now();
     let picked = balancer.pick(ready.iter(), attempts.excluded(), &pipeline.domain, now);
     picked.cloned().ok_or_else(|| {
-        let wait = balancer.shortest_wait(ready.iter(), now);
+        let wait = balancer.retry_after(ready.iter(), pipeline.rng.lock().random(), now);
         wait.map_or(GiveUp::Exhausted, GiveUp::Refused)
     })
 }
