Count a broken run as a crash only if its engine refuses connections

Behind a cut, connections to engines break one after the other, and a new one is neither accepted nor refused. Both that and the passed deadline of a silent stream counted as crashes, so that two such engines quarantined a sound segment: prompts would have been refused because of a cut (LOST). Only a refusal shows that the engine has ended while its host can be reached. The test failed before: two unreachable engines quarantined a segment.

--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -75,6 +75,7 @@
             if matches!(end, End::Complete) && self.ended_with_engine(&upstream).await {
                 end = End::Broken(ENGINE_GONE.to_owned());
             }
+            let broke = matches!(end, End::Broken(_));
             let reason = match end {
                 End::Complete => {
                     self.record_observation(&upstream.engine, Observation::Succeeded);
@@ -87,7 +88,9 @@
                 End::Broken(reason) => reason,
             };
             splitter.discard_partial();
-            self.record_break(&upstream, &splitter).await;
+            if broke {
+                self.record_break(&upstream, &splitter).await;
+            }
             let expired = self.pipeline.clock.now() >= self.accepted.deadline;
             self.record_failure(&upstream.engine, Observation::Failed, &reason);
             drop(upstream);
@@ -182,11 +185,11 @@
         probed == Reachability::Refuses
     }
 
-    /// Records that a run broke. If it had only just begun and its engine is gone, this is evidence
-    /// that a segment of its prompt crashes engines.
+    /// Records that a run broke. If it had only just begun and its engine refuses connections now, this
+    /// is evidence that a segment of its prompt crashes engines.
     ///
-    /// A broken connection to an engine that still accepts connections is none, nor is the end of an
-    /// engine that was to leave.
+    /// A broken connection to an engine that accepts connections is none, nor is one to an engine that
+    /// cannot be reached, nor the end of an engine that was to leave.
     async fn record_break(&self, upstream: &Upstream, splitter: &Splitter) {
         let (pipeline, engine) = (&self.pipeline, &upstream.engine);
         let segments = &self.accepted.metadata.segments;
@@ -205,13 +208,13 @@
             reachability.map_or("-", Reachability::as_str),
             self.accepted.segments()
         );
-        if reachability == Some(Reachability::Refuses) {
-            self.record_observation(engine, Observation::Gone);
+        if reachability != Some(Reachability::Refuses) {
+            return;
         }
-        let gone = reachability.is_some_and(|reachability| reachability != Reachability::Accepts);
+        self.record_observation(engine, Observation::Gone);
         let identity = engine.identity();
         let in_use = pipeline.registry.endpoint(&self.accepted.service, identity);
-        if gone && in_use.is_some() {
+        if in_use.is_some() {
             pipeline.quarantine.record_crash(Crash {
                 run: upstream.placement.id(),
                 engine: identity,
