Use limited plain endpoints when the others are full

A limited endpoint now takes calls in its turn once no other has room, as engines do. The test failed before.

--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -27,7 +27,7 @@
 
 impl Balancer {
     /// Returns the endpoint with the fewest running requests per slot, preferring those in
-    /// `domain`. An endpoint that names a limit is only used if no other one can be.
+    /// `domain`. An endpoint that names a limit is only used if all others are full.
     ///
     /// Endpoints in `excluded`, those that want no requests, and those whose next turn is later are
     /// never returned. Ejected endpoints are skipped unless all others are ejected too.
@@ -52,10 +52,11 @@
         let (limited, unlimited): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|entry| self.is_limited(entry.identity()));
-        let candidates = if unlimited.is_empty() {
-            limited
-        } else {
+        let has_room = |entry: &&Entry| self.running(entry) < entry.slots;
+        let candidates = if limited.is_empty() || unlimited.iter().any(has_room) {
             unlimited
+        } else {
+            limited
         };
         candidates
             .into_iter()
@@ -64,17 +65,18 @@
             .map(|(_, entry)| entry)
     }
 
+    fn running(&self, entry: &Entry) -> u32 {
+        let stats = self.endpoints.get(&entry.identity());
+        stats.map_or(0, |stats| stats.running)
+    }
+
     fn load(&self, entry: &Entry, domain: &Domain) -> f64 {
-        let running = self
-            .endpoints
-            .get(&entry.identity())
-            .map_or(0, |stats| stats.running);
         let penalty = if entry.domain == *domain {
             0.0
         } else {
             REMOTE_DOMAIN_REQUESTS
         };
-        (f64::from(running) + penalty) / f64::from(entry.slots.max(1))
+        (f64::from(self.running(entry)) + penalty) / f64::from(entry.slots.max(1))
     }
 
     fn is_ejected(&self, identity: Identity, now: Instant) -> bool {
@@ -100,8 +102,8 @@
     }
 
     /// Returns the time after which a refused client may come back: when the first of the endpoints
-    /// that want no requests, or whose next turn is later, accepts one. Returns `None` if there is no
-    /// such endpoint.
+    /// that want no requests, or whose next turn is later, accepts one. Returns `None` if there is
+    /// no such endpoint.
     ///
     /// All hosts work out the same next turn. So that the clients that they refuse meanwhile do not
     /// all come back at that turn, they are spread over the time to the turn after it by `random`,
@@ -123,8 +125,8 @@
         Some(wait + interval.mul_f64(random.clamp(0.0, 1.0)))
     }
 
-    /// Records a limit that an endpoint stated at `at`, or that it stated none; returns whether this
-    /// changes its limit. See [`Pacer::observe`].
+    /// Records a limit that an endpoint stated at `at`, or that it stated none; returns whether
+    /// this changes its limit. See [`Pacer::observe`].
     pub fn observe_limit(&mut self, identity: Identity, limit: Option<Rate>, at: Instant) -> bool {
         let stats = self.endpoints.entry(identity).or_default();
         stats.pacer.observe(limit, at)
--- a/crates/kernel/tests/pace.rs
+++ b/crates/kernel/tests/pace.rs
@@ -42,8 +42,8 @@
     );
 }
 
-/// Responses overtake each other: one that lacks the limit ends it only if its request was sent after
-/// the limit was stated.
+/// Responses overtake each other: one that lacks the limit ends it only if its request was sent
+/// after the limit was stated.
 #[test]
 fn only_a_later_request_shows_that_the_limit_has_ended() {
     let mut pacer = Pacer::default();
@@ -189,8 +189,8 @@
     }
 }
 
-/// Guards against limits that hold for each host but not for all of them: every host has requests that
-/// wait for the same few engines, all of which name a limit (LIMIT).
+/// Guards against limits that hold for each host but not for all of them: every host has requests
+/// that wait for the same few engines, all of which name a limit (LIMIT).
 #[rstest]
 #[case::few_hosts(5, 3, 2.9)]
 #[case::many_hosts(78, 2, 1.0)]
@@ -274,8 +274,8 @@
     }
 }
 
-/// Guards against refused callers that all come back at the same turn, each to another host, and are
-/// all sent on before the hosts hear of each other (LIMIT).
+/// Guards against refused callers that all come back at the same turn, each to another host, and
+/// are all sent on before the hosts hear of each other (LIMIT).
 #[test]
 fn callers_that_come_back_do_not_meet_at_one_turn() {
     const HOSTS: usize = 78;
@@ -329,3 +329,25 @@
     assert!(most <= 11, "{most} in 4 s: {sent:?}");
     assert!(sent.len() >= 10, "{} in 20 s", sent.len());
 }
+
+/// Guards against calls that overload the endpoints without a limit while a turn at another one is
+/// free.
+#[test]
+fn limited_plain_endpoint_is_used_if_the_others_are_full() {
+    let entries = entries(2);
+    let mut balancer = Balancer::default();
+    let (limited, other) = (entries[0].identity(), entries[1].identity());
+    balancer.observe_limit(limited, Some(rate(2.0)), NOW);
+    let domain = Domain::from("cannock");
+    let pick = |balancer: &Balancer| {
+        let picked = balancer.pick(entries.iter(), &[], &domain, after(600));
+        picked.map(Entry::identity)
+    };
+    for _ in 0..entries[1].slots {
+        assert_eq!(pick(&balancer), Some(other));
+        balancer.record_start(other);
+    }
+    assert_eq!(pick(&balancer), Some(limited));
+    balancer.record_request(limited, after(600));
+    assert_eq!(pick(&balancer), Some(other), "no turn is left");
+}
