--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -28,7 +28,8 @@
     HangAfter(u64),
     /// After this many events, sends a byte of the next one now and then, and never a whole event.
     TrickleAfter(u64),
-    /// Pauses after this many events until the host counts the engine as unresponsive, then goes on.
+    /// Pauses after this many events until the host counts the engine as unresponsive, then goes
+    /// on.
     PauseAfter(u64),
     /// Runs the request and closes the connection without a response.
     LoseResponse,
@@ -152,8 +153,8 @@
         self.state.lock().arrivals.clone()
     }
 
-    /// Makes the endpoint crash whenever it begins an answer to a prompt with this segment, which is
-    /// not the last one.
+    /// Makes the endpoint crash whenever it begins an answer to a prompt with this segment, which
+    /// is not the last one.
     pub fn crash_on_segment(&self, id: &'static str) {
         self.state.lock().lethal_segment = Some(id);
     }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Returns the end of the last complete event in `bytes` that ends at `from` or later. The bytes start
-/// at the beginning of a line.
+/// Returns the end of the last complete event in `bytes` that ends at `from` or later. The bytes
+/// start at the beginning of a line.
 fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
     (from..bytes.len())
         .rev()
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -32,8 +32,8 @@
     Failed,
     /// The endpoint could not be reached or stopped responding.
     Unresponsive,
-    /// The endpoint's address refuses connections: the endpoint has ended, but its failure domain can
-    /// be reached.
+    /// The endpoint's address refuses connections: the endpoint has ended, but its failure domain
+    /// can be reached.
     Gone,
 }
 
--- a/crates/kernel/src/pace.rs
+++ b/crates/kernel/src/pace.rs
@@ -1,8 +1,8 @@
 //! Paces requests to endpoints that name the rate at which all hosts together may send them.
 //!
 //! The hosts tell each other the limits and each request to a limited endpoint. Each of them works
-//! out the next turn from these, so that the sum holds without shares: a limit of one request a second
-//! is used by whichever host needs it first.
+//! out the next turn from these, so that the sum holds without shares: a limit of one request a
+//! second is used by whichever host needs it first.
 
 use std::fmt;
 use std::time::Duration;
@@ -60,8 +60,8 @@
     Limited(Rate),
 }
 
-/// Time for which an endpoint's turn is kept for another host that has claimed it. By then its claim
-/// is settled, and its request has been announced or the claim was lost.
+/// Time for which an endpoint's turn is kept for another host that has claimed it. By then its
+/// claim is settled, and its request has been announced or the claim was lost.
 const CLAIM_HOLD: Duration = Duration::from_millis(25);
 
 /// The limit of one endpoint and the next turn at it, as one host knows them.
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Returns whether the turn has come and no request has taken it, even if it is kept for another
-    /// host.
+    /// Returns whether the turn has come and no request has taken it, even if it is kept for
+    /// another host.
     #[must_use]
     pub fn is_free(&self, now: Instant) -> bool {
         self.limit.is_none() || self.next <= now
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -219,7 +219,8 @@
             .position(|candidate| has_slot(candidate) && fits(candidate))
             .or_else(|| candidates.iter().position(has_slot).filter(|_| count > 1))?;
         let primary = candidates.remove(primary);
-        // Reservations and parts of prompts would come on top of the requests that an engine limits.
+        // Reservations and parts of prompts would come on top of the requests that an engine
+        // limits.
         candidates.retain(|candidate| candidate.engine.pacer.limit().is_none());
         if candidates.len() < count - 1 {
             return None;
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -62,8 +62,8 @@
 /// State of one round of assignments.
 #[derive(Clone, Copy, Debug, Default)]
 struct Round {
-    /// Pause of the last request for which no plan was found. Later requests with the same pause are
-    /// not planned in this round.
+    /// Pause of the last request for which no plan was found. Later requests with the same pause
+    /// are not planned in this round.
     blocked: Option<Duration>,
     /// Number of requests that wait for a turn at a limited engine.
     ahead: u32,
@@ -318,8 +318,9 @@
         }
     }
 
-    /// Closes the claim on a plan with the engine `primary` and returns whether its request may run. If
-    /// the claim is lost, its loads are removed. If the engine is limited, the request takes the turn.
+    /// Closes the claim on a plan with the engine `primary` and returns whether its request may
+    /// run. If the claim is lost, its loads are removed. If the engine is limited, the request
+    /// takes the turn.
     pub fn settle(&mut self, id: LoadId, primary: Identity, now: Instant) -> bool {
         let engine = self.engines.get(&primary);
         let in_turn = engine.is_none_or(|engine| engine.pacer.is_free(now));
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -9,8 +9,8 @@
 //! - A segment is quarantined if several engines crashed on it at different times, and no segment
 //!   that is quarantined already explains these crashes.
 //!
-//! Hosts exchange crashes, what cleared them, and probes. The verdict depends only on these and not on
-//! the order in which they arrived, so that hosts agree without electing one of them.
+//! Hosts exchange crashes, what cleared them, and probes. The verdict depends only on these and not
+//! on the order in which they arrived, so that hosts agree without electing one of them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -40,12 +40,13 @@
 const COMPLETION_MEMORY: Duration = Duration::from_mins(1);
 /// Time for which crashes and probes are remembered, longer than the longest quarantine.
 const CRASH_MEMORY: Duration = Duration::from_mins(20);
-/// Maximum number of segments whose completed answers are remembered. Further ones are ignored until
-/// old ones are forgotten, so that invented segments cannot push others out.
+/// Maximum number of segments whose completed answers are remembered. Further ones are ignored
+/// until old ones are forgotten, so that invented segments cannot push others out.
 const MAX_COMPLETED: usize = 4_096;
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 128;
-/// Maximum number of segments that one crash counts against. Those without a completed answer go first.
+/// Maximum number of segments that one crash counts against. Those without a completed answer go
+/// first.
 pub const MAX_SEGMENTS: usize = 16;
 
 /// A run whose engine crashed soon after it began the answer.
@@ -335,8 +336,8 @@
         }
     }
 
-    /// Makes room for another crash. The oldest one that no quarantined segment explains goes first,
-    /// then the oldest of the segment with the most crashes.
+    /// Makes room for another crash. The oldest one that no quarantined segment explains goes
+    /// first, then the oldest of the segment with the most crashes.
     fn drop_weakest_report(&mut self) {
         let weight = |report: &Report| {
             let segments = report.crash.segments.iter();
--- a/crates/kernel/src/segment.rs
+++ b/crates/kernel/src/segment.rs
@@ -12,8 +12,8 @@
 pub struct Segment(pub u64);
 
 impl Segment {
-    /// Parses an identifier, which is usually hexadecimal. Identifiers of any other form are hashed,
-    /// with the same result on every host.
+    /// Parses an identifier, which is usually hexadecimal. Identifiers of any other form are
+    /// hashed, with the same result on every host.
     #[must_use]
     pub fn from_id(id: &str) -> Self {
         let number = (id.len() <= MAX_DIGITS)
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -346,7 +346,8 @@
             "{late} requests later than 3 s after the fifth crash: {sent:?}"
         );
     }
-    // Five requests, and in each of two halves those that are under way when the fifth engine crashes.
+    // Five requests, and in each of two halves those that are under way when the fifth engine
+    // crashes.
     let soon = sent.iter().filter(|time| **time < 5_000).count();
     assert!(soon <= 10, "{soon} requests before hosts knew: {sent:?}");
     // In each of two halves, five crashes and three later ones.
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -254,8 +254,8 @@
         }
     }
 
-    /// Sends all evidence and limits that this host knows, and `last` after them. What the socket does not take at once is
-    /// lost and requested again.
+    /// Sends all evidence and limits that this host knows, and `last` after them. What the socket
+    /// does not take at once is lost and requested again.
     fn send_state(&self, address: SocketAddr, last: Item) {
         let mut items = self.tables.quarantine.all();
         items.extend(self.tables.notices.limits());
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,5 +1,5 @@
-//! Handles what endpoints announce about themselves: that they leave, want no requests for a while, or
-//! accept them at a limited rate.
+//! Handles what endpoints announce about themselves: that they leave, want no requests for a while,
+//! or accept them at a limited rate.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +28,8 @@
     pub placer: Arc<Placer>,
     /// Balances calls over the endpoints of plain services.
     pub balancer: Arc<Mutex<Balancer>>,
-    /// Endpoints whose limit has changed in responses to this host, and until when snapshots repeat it.
+    /// Endpoints whose limit has changed in responses to this host, and until when snapshots repeat
+    /// it.
     repeated: Mutex<Vec<(Identity, Instant)>>,
     /// Monotonic clock.
     pub clock: Clock,
@@ -73,8 +74,8 @@
         }
     }
 
-    /// Applies what an endpoint stated about its limit at `at`, and tells the other hosts if the limit
-    /// has changed.
+    /// Applies what an endpoint stated about its limit at `at`, and tells the other hosts if the
+    /// limit has changed.
     fn observe_limit(&self, entry: &Entry, limit: Option<Rate>, at: Instant) {
         let identity = entry.identity();
         if self.apply_limit(identity, limit, at) {
@@ -93,7 +94,8 @@
         }
     }
 
-    /// Records what an endpoint stated about its limit at `at`; returns whether this changes the limit.
+    /// Records what an endpoint stated about its limit at `at`; returns whether this changes the
+    /// limit.
     fn apply_limit(&self, identity: Identity, limit: Option<Rate>, at: Instant) -> bool {
         let known = self.placer.observe_limit(identity, limit, at);
         known.unwrap_or_else(|| self.balancer.lock().observe_limit(identity, limit, at))
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -60,8 +60,8 @@
 }
 
 impl Pipeline {
-    /// Applies what the endpoint announces about itself in the head of the response to a request that
-    /// was sent at `sent_at`.
+    /// Applies what the endpoint announces about itself in the head of the response to a request
+    /// that was sent at `sent_at`.
     pub fn handle_notice(&self, entry: &Entry, head: &response::Parts, sent_at: Instant) {
         let notice = self.dialect.parse_notice(head.status, &head.headers);
         self.notices.apply(entry, notice, sent_at);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -182,8 +182,8 @@
         decision
     }
 
-    /// Settles the claim on a plan, and tells the other hosts if its request takes a turn at a limited
-    /// engine.
+    /// Settles the claim on a plan, and tells the other hosts if its request takes a turn at a
+    /// limited engine.
     fn settle_claim(&self, service: &Service, id: LoadId, primary: Identity) -> bool {
         let now = self.clock.now();
         let mut queues = self.queues.lock();
@@ -330,8 +330,8 @@
         }
     }
 
-    /// Records what an engine stated about its limit at `at`; returns whether this changes the limit, or
-    /// `None` if no pool has the engine.
+    /// Records what an engine stated about its limit at `at`; returns whether this changes the
+    /// limit, or `None` if no pool has the engine.
     pub fn observe_limit(
         &self,
         engine: Identity,
@@ -343,8 +343,8 @@
         pools.find_map(|pool| pool.observe_limit(engine, limit, at))
     }
 
-    /// Records that another host sends a request to a limited engine; returns whether a pool has the
-    /// engine.
+    /// Records that another host sends a request to a limited engine; returns whether a pool has
+    /// the engine.
     pub fn record_request(&self, engine: Identity) -> bool {
         let now = self.clock.now();
         let mut queues = self.queues.lock();
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -1,4 +1,5 @@
-//! Relays the events of an engine's stream, and goes on at another engine where the route allows it.
+//! Relays the events of an engine's stream, and goes on at another engine where the route allows
+//! it.
 
 use std::time::Duration;
 
@@ -126,8 +127,8 @@
 
     /// Looks for an engine to replace an unresponsive one.
     ///
-    /// The unresponsive engine's stream stays open meanwhile. An event that arrives on it is relayed
-    /// and ends the search.
+    /// The unresponsive engine's stream stays open meanwhile. An event that arrives on it is
+    /// relayed and ends the search.
     ///
     /// Returns `None` if another engine took over, and otherwise how the unresponsive engine's
     /// stream ended. [`End::Unresponsive`] means that this stream has not ended and remains in use.
@@ -175,8 +176,8 @@
         None
     }
 
-    /// Returns whether an answer without a length ended because its engine did, so that there may be
-    /// more of it. If not, a resumed run has nothing left to send.
+    /// Returns whether an answer without a length ended because its engine did, so that there may
+    /// be more of it. If not, a resumed run has nothing left to send.
     async fn ended_with_engine(&self, upstream: &Upstream) -> bool {
         if !self.accepted.route.resumable || upstream.exchange.is_framed() {
             return false;
@@ -185,11 +186,11 @@
         probed == Reachability::Refuses
     }
 
-    /// Records that a run broke. If it had only just begun and its engine refuses connections now, this
-    /// is evidence that a segment of its prompt crashes engines.
+    /// Records that a run broke. If it had only just begun and its engine refuses connections now,
+    /// this is evidence that a segment of its prompt crashes engines.
     ///
-    /// A broken connection to an engine that accepts connections is none, nor is one to an engine that
-    /// cannot be reached, nor the end of an engine that was to leave.
+    /// A broken connection to an engine that accepts connections is none, nor is one to an engine
+    /// that cannot be reached, nor the end of an engine that was to leave.
     async fn record_break(&self, upstream: &Upstream, splitter: &Splitter) {
         let (pipeline, engine) = (&self.pipeline, &upstream.engine);
         let segments = &self.accepted.metadata.segments;
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -144,7 +144,8 @@
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise [`Failure::Uncertain`].
+    /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise
+    /// [`Failure::Uncertain`].
     pub async fn send(
         &self,
         address: SocketAddr,
