Log broken and completed runs of calls, with a fingerprint of the request

The logs of the incident said that a send broke, not whether its endpoint was gone, nor which broken sends are the same request, nor which requests complete, so the hypotheses could not be told apart.

Calls now log run_broken and completed as streams do, both with a fingerprint of caller, method, path and body. A stream whose connection ends before the head of its response is logged too. What is sent where does not change.

--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -10,6 +10,7 @@
 use kernel::balance::Balancer;
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
+use kernel::fingerprint::Fingerprint;
 use kernel::name::{Domain, Service, Workspace};
 use kernel::segment;
 use parking_lot::Mutex;
@@ -20,6 +21,7 @@
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::clock::Clock;
+use crate::fingerprint::Hasher;
 use crate::headers::{encoded_len, end_to_end, error_response};
 use crate::notice::Notices;
 use crate::placer::Placer;
@@ -75,6 +77,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub metadata: Metadata,
+    /// The same for all requests with this caller, method, path and body.
+    pub fingerprint: Fingerprint,
     pub route: Arc<Route>,
     pub service: Service,
     pub workspace: Option<Workspace>,
@@ -104,6 +108,16 @@
         );
     }
 
+    /// Logs that an endpoint has run the request to the end, and sent this many events.
+    pub fn log_completed(&self, endpoint: &Entry, events: u64) {
+        log::info!(
+            "event=completed request={} endpoint={} events={events} fingerprint={}",
+            self.id(),
+            endpoint.name,
+            self.fingerprint
+        );
+    }
+
     /// The shared segments of the prompt for logs, or `-` if there are none.
     pub fn segments(&self) -> String {
         segment::format_list(&self.metadata.segments)
@@ -184,8 +198,8 @@
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(reject(status, None, reason));
     }
-    let body = read_body(body, configuration.limits.body_bytes).await;
-    let body = body.map_err(|(status, reason)| reject(status, None, reason))?;
+    let read = read_body(body, configuration.limits.body_bytes).await;
+    let (body, hasher) = read.map_err(|(status, reason)| reject(status, None, reason))?;
     let host = host_name(&head.headers, &head.uri).unwrap_or_default();
     // Prefer a configuration that arrived while the body was read.
     let configuration = pipeline.registry.configuration().unwrap_or(configuration);
@@ -205,14 +219,17 @@
         .remaining
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let workspace = allowed.workspace;
+    let fingerprint = hasher.finish(&head.method, &host, &head.uri, workspace);
     Ok(Accepted {
+        fingerprint,
         method: head.method,
         uri: origin_form(&head.uri),
         headers: end_to_end(&head.headers),
         body,
         metadata,
         service,
-        workspace: allowed.workspace.cloned(),
+        workspace: workspace.cloned(),
         priority: allowed.priority,
         arrived,
         deadline: arrived + timeout,
@@ -220,10 +237,19 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (StatusCode, &'static str)> {
-    let whole = Limited::new(body, limit).collect().await;
+/// Reads a whole body, which is hashed as it arrives.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+) -> Result<(Bytes, Hasher), (StatusCode, &'static str)> {
+    let mut hasher = Hasher::default();
+    let frames = body.map_frame(|frame| {
+        frame.data_ref().inspect(|bytes| hasher.update(bytes));
+        frame
+    });
+    let whole = Limited::new(frames, limit).collect().await;
     whole
-        .map(http_body_util::Collected::to_bytes)
+        .map(|whole| (whole.to_bytes(), hasher))
         .map_err(|error| {
             if error.is::<LengthLimitError>() {
                 let reason = "the body is larger than the limit: send less";
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -9,6 +9,7 @@
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
+use crate::broken;
 use crate::headers::end_to_end;
 use crate::observe;
 use crate::pipeline::{Accepted, Pipeline};
@@ -54,6 +55,8 @@
     NotRun,
     /// Nothing was sent, with what this says about the endpoint and the reason.
     Unsent(Observation, String),
+    /// The connection ended before the response did, with the reason. The call may have run.
+    Broken(String),
     /// The call may have run, with the reason why there is no usable response.
     Uncertain(String),
 }
@@ -74,16 +77,29 @@
             break GiveUp::Exhausted;
         }
         let endpoint = entry.identity();
+        let began = pipeline.clock.now();
         let outcome = send(pipeline, accepted, &entry, attempts.allowed_after_run()).await;
         record_outcome(pipeline, accepted, &entry, &outcome);
         match outcome {
-            Outcome::Response(head, body) => return build_response(&head, body),
+            Outcome::Response(head, body) => {
+                accepted.log_completed(&entry, 0);
+                return build_response(&head, body);
+            }
             Outcome::Failed(head, body) => {
                 attempts.record_run(endpoint);
                 last_failure = Some((head, body));
             }
             Outcome::NotRun => attempts.record_rejected(endpoint),
             Outcome::Unsent(..) => attempts.record_unsent(endpoint),
+            Outcome::Broken(_) => {
+                attempts.record_run(endpoint);
+                let run = broken::Run {
+                    endpoint: &entry,
+                    began,
+                    events: 0,
+                };
+                broken::examine(pipeline, accepted, &run).await;
+            }
             Outcome::Uncertain(_) => attempts.record_run(endpoint),
         }
         if !attempts.allowed() {
@@ -145,18 +161,17 @@
         if class == ResponseClass::Mismatched {
             // Dropping the exchange closes the connection, whose responses no longer match the
             // requests.
-            return Err(Failure::Uncertain(
-                "the response is to another request".to_owned(),
-            ));
+            return Ok(Err(MISMATCHED_RESPONSE.to_owned()));
         }
         let (head, body) = exchange.collect(MAX_RESPONSE_BYTES).await?;
-        Ok((class, head, body))
+        Ok(Ok((class, head, body)))
     };
     match timeout(limit, exchange).await {
-        Ok(Ok((class, head, body))) => classify(class, head, body),
+        Ok(Ok(Ok((class, head, body)))) => classify(class, head, body),
+        Ok(Ok(Err(reason))) => Outcome::Uncertain(reason),
         Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(Observation::Unresponsive, reason),
         Ok(Err(Failure::Refused(reason))) => Outcome::Unsent(Observation::Gone, reason),
-        Ok(Err(Failure::Uncertain(reason))) => Outcome::Uncertain(reason),
+        Ok(Err(Failure::Uncertain(reason))) => Outcome::Broken(reason),
         Err(_) => {
             pipeline.dialer.close_idle(entry.address);
             Outcome::Uncertain("no answer in time".to_owned())
@@ -189,7 +204,7 @@
             record(*observation);
             ("unsent", reason.clone())
         }
-        Outcome::Uncertain(reason) => {
+        Outcome::Broken(reason) | Outcome::Uncertain(reason) => {
             record(Observation::Failed);
             ("uncertain", reason.clone())
         }
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use kernel::event::Splitter;
 use kernel::outlier::Observation;
-use kernel::quarantine::{Crash, EVENTS_AT_START};
+use kernel::quarantine::Crash;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::{FIRST_EVENT_SLACK, Session, Upstream};
 use crate::attempts::GiveUp;
 use crate::body::Error;
+use crate::broken;
 use crate::observe;
 use crate::transport::{Exchange, Reachability};
 
@@ -195,20 +196,12 @@
         let (pipeline, engine) = (&self.pipeline, &upstream.engine);
         let segments = &self.accepted.metadata.segments;
         let ended = pipeline.clock.now();
-        let events = splitter.events() - upstream.events_before;
-        let reachability = if events <= EVENTS_AT_START {
-            Some(pipeline.dialer.probe(engine.address).await)
-        } else {
-            None
+        let run = broken::Run {
+            endpoint: engine,
+            began: upstream.began,
+            events: splitter.events() - upstream.events_before,
         };
-        log::info!(
-            "event=run_broken request={} engine={} events={events} began_ms={} engine_connections={} segments={}",
-            self.accepted.id(),
-            engine.name,
-            ended.since(upstream.began).as_millis(),
-            reachability.map_or("-", Reachability::as_str),
-            self.accepted.segments()
-        );
+        let reachability = broken::examine(pipeline, &self.accepted, &run).await;
         if reachability != Some(Reachability::Refuses) {
             return;
         }
@@ -229,11 +222,7 @@
     /// Records that an engine has sent its answer to the end.
     fn record_completion(&self, upstream: &Upstream, splitter: &Splitter) {
         let events = splitter.events() - upstream.events_before;
-        log::info!(
-            "event=completed request={} engine={} events={events}",
-            self.accepted.id(),
-            upstream.engine.name
-        );
+        self.accepted.log_completed(&upstream.engine, events);
         // An answer without a length may be incomplete, unless `ended_with_engine` has checked it.
         let complete = upstream.exchange.is_framed() || self.accepted.route.resumable;
         if events > 0 && complete {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -17,6 +17,7 @@
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
+use crate::broken;
 use crate::headers::end_to_end;
 use crate::observe;
 use crate::pipeline::{Accepted, Pipeline};
@@ -257,6 +258,12 @@
             }
             Ok(Err(Failure::Uncertain(reason))) => {
                 self.record_failure(&engine, Observation::Failed, &reason);
+                let run = broken::Run {
+                    endpoint: &engine,
+                    began: sent_at,
+                    events: 0,
+                };
+                broken::examine(&pipeline, &self.accepted, &run).await;
                 Err(None)
             }
             Err(_) => {
