--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -74,6 +74,8 @@
     arrivals: Vec<Instant>,
     /// Segment of prompts that crashes the endpoint when it begins the answer.
     lethal_segment: Option<&'static str>,
+    /// Path of requests that crash the endpoint before it responds.
+    lethal_path: Option<&'static str>,
     command_delay: Duration,
     last_command_at: Option<Instant>,
     longest_command_gap: Option<Duration>,
@@ -180,6 +182,11 @@
         ids.any(|id| id == lethal)
     }
 
+    /// Makes the endpoint crash whenever it runs a request with this path, before it responds.
+    pub fn crash_on_path(&self, path: &'static str) {
+        self.state.lock().lethal_path = Some(path);
+    }
+
     /// Returns the number of requests that the endpoint has rejected.
     #[must_use]
     pub fn rejections(&self) -> usize {
@@ -336,6 +343,9 @@
 /// Time between two events of an engine that decodes a few sequences.
 const EVENT_INTERVAL: Duration = Duration::from_millis(45);
 
+/// Time for which a plain endpoint runs a lethal request before it crashes.
+const TIME_TO_CRASH: Duration = Duration::from_millis(40);
+
 /// Sends bytes that never complete an event until the client has disconnected.
 async fn trickle(sender: &mpsc::Sender<Result<Bytes, Error>>) {
     while sender.send(Ok(Bytes::from_static(b"i"))).await.is_ok() {
@@ -388,6 +398,11 @@
             return Some(rejection(fault));
         }
         let run = self.record_start(&request);
+        if self.state.lock().lethal_path == Some(request.uri.path()) {
+            sleep(TIME_TO_CRASH).await;
+            self.crash_now();
+            return None;
+        }
         if fault == Some(Fault::LoseResponse) {
             return None;
         }
