Quarantine whole requests that crash endpoints

Callers of a plain service saw all its endpoints end every four seconds: one request crashed whatever ran it, was sent once more at once, and came again at any host. Between the crashes every other request to the service was refused.

Cause: a crash was held against the endpoint alone. The quarantine knew segments of prompts only, which calls do not have, and a stream has none that counts before the head of its response.

Evidence now names what failed runs share: a segment or a whole request, in one table with one bound. The same crash is blamed on one of them. A request on which one endpoint crashed waits before it runs again, so that it cannot take a small service out of use before the second crash. Tests of a suspect end after two without success, since each costs an endpoint for as long as the request comes.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -18,7 +18,7 @@
 pub enum GiveUp {
     /// No endpoint can run the request now; the client may retry after this time.
     Refused(Duration),
-    /// A segment of the prompt is quarantined; the client may retry after this time.
+    /// The request or a segment of its prompt is quarantined; the client may retry after this time.
     Quarantined(Duration),
     /// The deadline of the request has passed.
     Expired,
@@ -33,7 +33,7 @@
         match self {
             Self::Refused(_) => "no endpoint can take the request now: come back later",
             Self::Quarantined(_) => {
-                "engines crashed on a part of this prompt: change the prompt, or come back later"
+                "endpoints crashed on this request or a part of this prompt: change it, or come back later"
             }
             Self::Expired => "the request's time has passed",
             Self::Exhausted => "every allowed attempt failed",
@@ -116,7 +116,7 @@
         self.record_rejected(endpoint);
     }
 
-    /// Disallows further attempts because the retry budget is used up.
+    /// Disallows further attempts.
     pub const fn exhaust(&mut self) {
         self.runs_left = 0;
     }
--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -2,9 +2,11 @@
 
 use kernel::catalogue::Entry;
 use kernel::clock::Instant;
-use kernel::quarantine::EVENTS_AT_START;
+use kernel::place::LoadId;
+use kernel::quarantine::{EVENTS_AT_START, Suspect};
 
 use crate::pipeline::{Accepted, Pipeline};
+use crate::quarantine::Crashed;
 use crate::transport::Reachability;
 
 /// A broken run of a request at an endpoint.
@@ -15,15 +17,18 @@
     pub began: Instant,
     /// Number of events that the endpoint sent.
     pub events: u64,
+    /// The run's placement, if it had begun the answer.
+    pub answering: Option<LoadId>,
 }
 
-/// Finds out whether the endpoint of a run that had only just begun still accepts connections, and
-/// logs the run.
-pub(crate) async fn examine(
-    pipeline: &Pipeline,
-    accepted: &Accepted,
-    run: &Run<'_>,
-) -> Option<Reachability> {
+/// Logs a broken run. If it had only just begun and its endpoint refuses connections now, this is
+/// evidence that the request, or a segment of its prompt, crashes endpoints.
+///
+/// A broken connection to an endpoint that accepts connections is none, nor is one to an endpoint that
+/// cannot be reached, nor the end of an endpoint that was to leave.
+///
+/// Returns whether the endpoint has ended.
+pub(crate) async fn examine(pipeline: &Pipeline, accepted: &Accepted, run: &Run<'_>) -> bool {
     let ended = pipeline.clock.now();
     let reachability = if run.events <= EVENTS_AT_START {
         Some(pipeline.dialer.probe(run.endpoint.address).await)
@@ -40,5 +45,35 @@
         accepted.fingerprint,
         accepted.segments()
     );
-    reachability
+    if reachability != Some(Reachability::Refuses) {
+        return false;
+    }
+    let endpoint = run.endpoint.identity();
+    let in_use = pipeline.registry.endpoint(&accepted.service, endpoint);
+    if in_use.is_some() {
+        let crashed = Crashed {
+            endpoint,
+            began: run.began,
+            ended,
+        };
+        record_crash(pipeline, accepted, run.answering, &crashed);
+    }
+    true
+}
+
+fn record_crash(
+    pipeline: &Pipeline,
+    accepted: &Accepted,
+    answering: Option<LoadId>,
+    crashed: &Crashed,
+) {
+    let quarantine = &pipeline.quarantine;
+    let request = Suspect::Request(accepted.fingerprint);
+    quarantine.record_request_crash(request, crashed);
+    // Until the answer begins, the engine only reads the prompt, and many prompts at once.
+    if let Some(run) = answering {
+        let segments = accepted.metadata.segments.iter();
+        let segments = segments.copied().map(Suspect::Segment).collect();
+        quarantine.record_crash(run, segments, crashed);
+    }
 }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -50,7 +50,7 @@
     pub fleet: Arc<Mutex<Fleet>>,
     /// The newest configuration that another host uses.
     pub peer_version: Arc<PeerVersion>,
-    /// Segments that crash engines.
+    /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
 }
 
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -48,7 +48,7 @@
     metrics::counter!("filbertstage_backoffs_total").increment(1);
 }
 
-/// Counts an event of the quarantine of segments: a crash, a refused request or a probe.
+/// Counts an event of the quarantine: a crash, a request that is held or refused, or a probe.
 pub(crate) fn count_quarantine(event: &'static str) {
     metrics::counter!("filbertstage_quarantine_total", "event" => event).increment(1);
 }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -12,6 +12,7 @@
 use kernel::clock::Instant;
 use kernel::fingerprint::Fingerprint;
 use kernel::name::{Domain, Service, Workspace};
+use kernel::quarantine::Suspect;
 use kernel::segment;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
@@ -25,7 +26,7 @@
 use crate::headers::{encoded_len, end_to_end, error_response};
 use crate::notice::Notices;
 use crate::placer::Placer;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
 use crate::transport::Dialer;
 use crate::{observe, plain, stream};
@@ -33,6 +34,10 @@
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time in which all endpoints of a service run one request that may crash them. It is the shorter the
+/// more endpoints there are, so that such requests take few of them out of use at once.
+const SUSPECT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// State shared by all requests of a host.
 pub struct Pipeline {
     /// The current configuration and endpoints.
@@ -43,7 +48,7 @@
     pub balancer: Arc<Mutex<Balancer>>,
     /// Applies what endpoints announce about themselves.
     pub notices: Arc<Notices>,
-    /// Segments that crash engines.
+    /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
     /// Retry budgets of the services.
     pub budgets: Budgets,
@@ -68,6 +73,21 @@
         let notice = self.dialect.parse_notice(head.status, &head.headers);
         self.notices.apply(entry, notice, sent_at);
     }
+
+    /// Decides whether a request may be sent, or sent once more after an endpoint crashed on it.
+    pub(crate) async fn admit(&self, accepted: &Accepted) -> Result<Admission, GiveUp> {
+        let endpoints = self.registry.count_ready(&accepted.service).max(1);
+        let hold = SUSPECT_INTERVAL / u32::try_from(endpoints).unwrap_or(u32::MAX);
+        let (id, suspects) = (accepted.id(), &accepted.suspects);
+        let admitted = self
+            .quarantine
+            .admit(id, suspects, hold, accepted.deadline)
+            .await;
+        admitted.map_err(|wait| {
+            self.quarantine.log_refusal(id, suspects);
+            GiveUp::Quarantined(wait)
+        })
+    }
 }
 
 /// A request that was read, routed and admitted.
@@ -79,6 +99,8 @@
     pub metadata: Metadata,
     /// The same for all requests with this caller, method, path and body.
     pub fingerprint: Fingerprint,
+    /// What may crash endpoints: the shared segments of the prompt, and the request.
+    pub suspects: Vec<Suspect>,
     pub route: Arc<Route>,
     pub service: Service,
     pub workspace: Option<Workspace>,
@@ -221,7 +243,10 @@
         .min(route.timeout);
     let workspace = allowed.workspace;
     let fingerprint = hasher.finish(&head.method, &host, &head.uri, workspace);
+    let segments = metadata.segments.iter().copied().map(Suspect::Segment);
+    let request = Suspect::Request(fingerprint);
     Ok(Accepted {
+        suspects: segments.chain([request]).collect(),
         fingerprint,
         method: head.method,
         uri: origin_form(&head.uri),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -2,7 +2,9 @@
 
 use http::{Response, StatusCode, response};
 use kernel::catalogue::{Entry, Identity};
+use kernel::clock::Instant;
 use kernel::outlier::Observation;
+use kernel::quarantine::Suspect;
 use rand::Rng;
 use tokio::time::timeout;
 
@@ -65,10 +67,19 @@
 pub(crate) async fn run(pipeline: &Pipeline, accepted: &Accepted) -> Response<Body> {
     let mut attempts = Attempts::new(&accepted.route);
     let mut last_failure = None;
+    let mut admitted = pipeline.admit(accepted).await;
     let give_up = loop {
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
+        let admission = match admitted {
+            Ok(admission) => admission,
+            Err(give_up) => break give_up,
+        };
+        let checked = pipeline.quarantine.recheck(&accepted.suspects, admission);
+        if let Err(wait) = checked {
+            break GiveUp::Quarantined(wait);
+        }
         let entry = match pick_endpoint(pipeline, accepted, &attempts) {
             Ok(entry) => entry,
             Err(give_up) => break give_up,
@@ -83,6 +94,8 @@
         match outcome {
             Outcome::Response(head, body) => {
                 accepted.log_completed(&entry, 0);
+                let request = [Suspect::Request(accepted.fingerprint)];
+                pipeline.quarantine.record_completion(&request, began);
                 return build_response(&head, body);
             }
             Outcome::Failed(head, body) => {
@@ -93,16 +106,13 @@
             Outcome::Unsent(..) => attempts.record_unsent(endpoint),
             Outcome::Broken(_) => {
                 attempts.record_run(endpoint);
-                let run = broken::Run {
-                    endpoint: &entry,
-                    began,
-                    events: 0,
-                };
-                broken::examine(pipeline, accepted, &run).await;
+                if has_crashed(pipeline, accepted, &entry, began).await {
+                    admitted = pipeline.admit(accepted).await;
+                }
             }
             Outcome::Uncertain(_) => attempts.record_run(endpoint),
         }
-        if !attempts.allowed() {
+        if !attempts.allowed() || (attempts.sent() > 0 && admission.is_probe()) {
             break GiveUp::Exhausted;
         }
     };
@@ -113,6 +123,28 @@
     }
 }
 
+/// Returns whether the endpoint of a call that broke has crashed.
+async fn has_crashed(
+    pipeline: &Pipeline,
+    accepted: &Accepted,
+    entry: &Entry,
+    began: Instant,
+) -> bool {
+    let run = broken::Run {
+        endpoint: entry,
+        began,
+        events: 0,
+        answering: None,
+    };
+    let crashed = broken::examine(pipeline, accepted, &run).await;
+    if crashed {
+        let now = pipeline.clock.now();
+        let mut balancer = pipeline.balancer.lock();
+        balancer.record(entry.identity(), Observation::Gone, now);
+    }
+    crashed
+}
+
 fn pick_endpoint(
     pipeline: &Pipeline,
     accepted: &Accepted,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,27 +1,28 @@
-//! Keeps segments that crash engines away from the engines, together with the other hosts.
+//! Keeps requests that crash endpoints away from the endpoints, together with the other hosts.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode};
 use kernel::catalogue::Identity;
 use kernel::clock::Instant;
 use kernel::place::LoadId;
-use kernel::quarantine::{self, Crash, Entry, Evidence, Probe, Verdict};
-use kernel::segment::Segment;
+use kernel::quarantine::{self, Crash, Entry, Evidence, Suspect, Verdict};
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant as Deadline, timeout_at};
+use tokio::time::{Instant as Deadline, timeout, timeout_at};
 use wire::evidence;
 use wire::placement::Item;
 
 use crate::body::Body;
 use crate::clock::Clock;
+use crate::evidence::{decode, encode, millis};
 use crate::headers::error_response;
 use crate::observe;
 
-/// Path of the admin listener that lists the quarantined segments, and below which each of them can
+/// Path of the admin listener that lists the quarantined suspects, and below which each of them can
 /// be cleared.
 pub(crate) const PATH: &str = "/quarantine";
 
@@ -37,10 +38,13 @@
     at: Instant,
 }
 
-/// Segments that crash engines, as known to this host.
+/// Requests that crash endpoints, as known to this host.
 #[derive(Debug)]
 pub struct Quarantine {
     clock: Clock,
+    holder: u64,
+    /// Number of crashes that this host has counted against whole requests.
+    crashes: AtomicU32,
     table: Mutex<quarantine::Quarantine>,
     /// Evidence of this host that is not sent yet.
     unsent: Mutex<Vec<Evidence>>,
@@ -54,13 +58,23 @@
     sync_deadline: Deadline,
 }
 
+impl Admission {
+    /// Whether the request may be sent once only, to test what is quarantined.
+    #[must_use]
+    pub fn is_probe(&self) -> bool {
+        self.verdict == Verdict::Probe
+    }
+}
+
 impl Quarantine {
-    /// Creates an empty quarantine. With `synced`, the host does not wait for the evidence of other
+    /// Creates an empty quarantine of the host with the incarnation `holder`. With `synced`, the host does not wait for the evidence of other
     /// hosts before it serves.
     #[must_use]
-    pub fn new(clock: Clock, synced: bool) -> Self {
+    pub fn new(clock: Clock, holder: u64, synced: bool) -> Self {
         Self {
             clock,
+            holder,
+            crashes: AtomicU32::new(0),
             table: Mutex::default(),
             unsent: Mutex::default(),
             repeated: Mutex::default(),
@@ -92,27 +106,45 @@
         let _ = timeout_at(self.sync_deadline, synced.wait_for(|synced| *synced)).await;
     }
 
-    /// Decides whether a request with these segments may be sent.
+    /// Decides whether a request with these suspects may be sent. `hold` is the time between two runs
+    /// of a request on which one endpoint crashed; the request waits for it until `deadline`.
     ///
     /// # Errors
     ///
     /// Returns the time after which the client may retry, if the request is refused.
-    pub async fn admit(&self, id: &str, segments: &[Segment]) -> Result<Admission, Duration> {
-        if !segments.is_empty() {
-            self.wait_until_synced().await;
-        }
-        let now = self.clock.now();
-        let (verdict, evidence) = self.table.lock().admit(segments, now);
-        match verdict {
-            Verdict::Admitted => {}
-            Verdict::Probe => {
-                observe::count_quarantine("probe");
-                log::info!("event=quarantine_probe request={id}");
-                self.share(evidence);
+    pub async fn admit(
+        &self,
+        id: &str,
+        suspects: &[Suspect],
+        hold: Duration,
+        deadline: Instant,
+    ) -> Result<Admission, Duration> {
+        self.wait_until_synced().await;
+        loop {
+            let changed = self.changed.notified();
+            let now = self.clock.now();
+            let (verdict, evidence) = self.table.lock().admit(suspects, hold, now);
+            self.share(evidence);
+            match verdict {
+                Verdict::Admitted => {}
+                Verdict::Probe => {
+                    observe::count_quarantine("probe");
+                    log::info!("event=quarantine_probe request={id}");
+                }
+                Verdict::Held(wait) if now + wait < deadline => {
+                    observe::count_quarantine("held");
+                    log::info!(
+                        "event=quarantine_hold request={id} hold_ms={}",
+                        wait.as_millis()
+                    );
+                    // Evidence may end the time earlier, or refuse the request.
+                    let _ = timeout(wait, changed).await;
+                    continue;
+                }
+                Verdict::Held(wait) | Verdict::Refused(wait) => return Err(wait),
             }
-            Verdict::Refused(rest) => return Err(rest),
+            return Ok(Admission { verdict, at: now });
         }
-        Ok(Admission { verdict, at: now })
     }
 
     /// Checks an admitted request again.
@@ -120,19 +152,19 @@
     /// # Errors
     ///
     /// Returns the time after which the client may retry, if the request must not be sent any more.
-    pub fn recheck(&self, segments: &[Segment], admission: Admission) -> Result<(), Duration> {
+    pub fn recheck(&self, suspects: &[Suspect], admission: Admission) -> Result<(), Duration> {
         let now = self.clock.now();
         let table = self.table.lock();
-        let refused = table.recheck(segments, admission.verdict, admission.at, now);
+        let refused = table.recheck(suspects, admission.verdict, admission.at, now);
         refused.map_or(Ok(()), Err)
     }
 
     /// Waits until an admitted request must not be sent any more. Returns the time after which the
     /// client may retry.
-    pub async fn wait_until_refused(&self, segments: &[Segment], admission: Admission) -> Duration {
+    pub async fn wait_until_refused(&self, suspects: &[Suspect], admission: Admission) -> Duration {
         loop {
             let changed = self.changed.notified();
-            if let Err(rest) = self.recheck(segments, admission) {
+            if let Err(rest) = self.recheck(suspects, admission) {
                 return rest;
             }
             changed.await;
@@ -140,32 +172,48 @@
     }
 
     /// Logs and counts that a request is refused, with the evidence.
-    pub fn log_refusal(&self, id: &str, segments: &[Segment]) {
+    pub fn log_refusal(&self, id: &str, suspects: &[Suspect]) {
         observe::count_quarantine("refused");
         let now = self.clock.now();
         let table = self.table.lock();
         let held = table.quarantined();
-        for (segment, entry) in held.filter(|(segment, _)| segments.contains(segment)) {
+        for (suspect, entry) in held.filter(|(suspect, _)| suspects.contains(suspect)) {
             log::info!(
-                "event=quarantined request={id} segment={segment} engines={} age_ms={} probe_in_ms={}",
-                entry.engines,
-                now.since(entry.first_crash).as_millis(),
-                entry.probe_due.since(now).as_millis()
+                "event=quarantined request={id} {}",
+                describe(suspect, &entry, now)
             );
         }
     }
 
-    /// Records that an engine crashed soon after it began an answer.
-    pub fn record_crash(&self, crash: Crash) {
+    /// Records that an endpoint crashed soon after it began to run a request.
+    pub fn record_request_crash(&self, request: Suspect, crashed: &Crashed) {
+        let count = self.crashes.fetch_add(1, Ordering::Relaxed);
+        let run = LoadId {
+            holder: self.holder,
+            // Placements count upwards from zero.
+            sequence: u32::MAX - count,
+        };
+        self.record_crash(run, vec![request], crashed);
+    }
+
+    /// Records that an endpoint crashed soon after it began the answer of the run `run`.
+    pub fn record_crash(&self, run: LoadId, suspects: Vec<Suspect>, crashed: &Crashed) {
         observe::count_quarantine("crash");
         let now = self.clock.now();
+        let crash = Crash {
+            run,
+            endpoint: crashed.endpoint,
+            began: crashed.began,
+            ended: crashed.ended,
+            suspects,
+        };
         self.change(|table| table.record_crash(crash, now).into_iter().collect());
     }
 
-    /// Records a complete answer that began at `began`.
-    pub fn record_completion(&self, segments: &[Segment], began: Instant) {
+    /// Records a completed run that began at `began`.
+    pub fn record_completion(&self, suspects: &[Suspect], began: Instant) {
         let now = self.clock.now();
-        self.change(|table| table.record_completion(segments, began, now));
+        self.change(|table| table.record_completion(suspects, began, now));
     }
 
     /// Changes the table, shares the evidence that results, and wakes waiting requests.
@@ -183,28 +231,31 @@
         }
     }
 
-    fn log_changes(&self, before: &BTreeMap<Segment, Entry>, table: &quarantine::Quarantine) {
+    fn log_changes(&self, before: &BTreeMap<Suspect, Entry>, table: &quarantine::Quarantine) {
         let now = self.clock.now();
         let after: BTreeMap<_, _> = table.quarantined().collect();
-        for (segment, entry) in &after {
-            if before.get(segment) != Some(entry) {
-                log::warn!(
-                    "event=segment_quarantined segment={segment} engines={} age_ms={} probe_in_ms={}",
-                    entry.engines,
-                    now.since(entry.first_crash).as_millis(),
-                    entry.probe_due.since(now).as_millis()
-                );
-            }
+        if *before == after {
+            return;
         }
-        for segment in before.keys().filter(|segment| !after.contains_key(segment)) {
-            log::warn!("event=segment_released segment={segment}");
+        for (suspect, entry) in &after {
+            if before.get(suspect) != Some(entry) {
+                let text = describe(*suspect, entry, now);
+                log::warn!("event=suspect_quarantined {text}");
+            }
         }
-        if before.len() != after.len() {
-            observe::set_gauge("filbertstage_quarantined_segments", after.len() as u64);
+        for suspect in before.keys().filter(|suspect| !after.contains_key(suspect)) {
+            log::warn!("event=suspect_released suspect={suspect}");
         }
+        let requests = after.keys().filter(|suspect| suspect.is_request()).count();
+        let segments = after.len() - requests;
+        observe::set_gauge("filbertstage_quarantined_requests", requests as u64);
+        observe::set_gauge("filbertstage_quarantined_segments", segments as u64);
     }
 
     fn share(&self, evidence: Vec<Evidence>) {
+        if evidence.is_empty() {
+            return;
+        }
         let until = self.clock.now() + REPEATED;
         let repeated = evidence.iter().cloned().map(|evidence| (evidence, until));
         self.repeated.lock().extend(repeated);
@@ -256,17 +307,17 @@
             .collect()
     }
 
-    /// Serves an operator's request to list the quarantined segments, or to clear one of them.
+    /// Serves an operator's request to list the quarantined suspects, or to clear one of them.
     pub(crate) fn respond<B>(&self, request: &Request<B>) -> Response<Body> {
         let named = request.uri().path().strip_prefix(PATH);
         let named = named.unwrap_or_default().trim_matches('/');
         match (request.method(), named) {
             (&Method::GET, "") => Response::new(Body::whole(self.list())),
-            (&Method::DELETE, id) if !id.is_empty() => self.clear(Segment::from_id(id)),
+            (&Method::DELETE, id) if !id.is_empty() => self.clear(Suspect::from_id(id)),
             _ => error_response(
                 StatusCode::METHOD_NOT_ALLOWED,
                 None,
-                "GET /quarantine lists the segments, DELETE /quarantine/SEGMENT clears one",
+                "GET /quarantine lists segments and requests, DELETE /quarantine/ID clears one",
             ),
         }
     }
@@ -274,97 +325,69 @@
     fn list(&self) -> String {
         let now = self.clock.now();
         let table = self.table.lock();
-        let segments = table.quarantined().map(|(segment, entry)| {
-            json!({
-                "segment": segment.to_string(),
-                "engines": entry.engines,
+        let (mut requests, mut segments) = (Vec::new(), Vec::new());
+        for (suspect, entry) in table.quarantined() {
+            let (list, name) = if suspect.is_request() {
+                (&mut requests, "request")
+            } else {
+                (&mut segments, "segment")
+            };
+            list.push(json!({
+                name: suspect.to_string(),
+                "endpoints": entry.endpoints,
                 "age_ms": millis(now.since(entry.first_crash)),
-                "probe_in_ms": millis(entry.probe_due.since(now)),
-            })
-        });
-        let segments: Vec<_> = segments.collect();
-        format!("{}\n", json!({ "segments": segments }))
+                "probe_in_ms": entry.probe_due.map(|due| millis(due.since(now))),
+            }));
+        }
+        format!(
+            "{}\n",
+            json!({ "requests": requests, "segments": segments })
+        )
     }
 
-    fn clear(&self, segment: Segment) -> Response<Body> {
+    fn clear(&self, suspect: Suspect) -> Response<Body> {
         let mut known = false;
         self.change(|table| {
-            let cleared = table.clear(segment);
+            let cleared = table.clear(suspect);
             known = !cleared.is_empty();
             cleared
         });
         if known {
-            log::warn!("event=segment_cleared segment={segment} source=operator");
+            log::warn!("event=suspect_cleared suspect={suspect} source=operator");
             Response::new(Body::whole(self.list()))
         } else {
-            let reason = "no crash counts against this segment: list them with GET /quarantine";
+            let reason =
+                "no crash counts against this segment or request: list them with GET /quarantine";
             error_response(StatusCode::NOT_FOUND, None, reason)
         }
     }
 }
 
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn encode(evidence: &Evidence, now: Instant) -> Item {
-    let run = |id: LoadId| evidence::Run {
-        holder: id.holder,
-        sequence: id.sequence,
-    };
-    Item::Evidence(match evidence {
-        Evidence::Crash(crash) => evidence::Evidence::Crash {
-            run: run(crash.run),
-            engine: crash.engine.0,
-            began_ms: millis(now.since(crash.began)),
-            ended_ms: millis(now.since(crash.ended)),
-            segments: crash.segments.iter().map(|segment| segment.0).collect(),
-        },
-        Evidence::Cleared(id, segment) => evidence::Evidence::Cleared {
-            run: run(*id),
-            segment: segment.0,
-        },
-        Evidence::Probe(segment, probe) => evidence::Evidence::Probe {
-            segment: segment.0,
-            number: probe.number,
-            age_ms: millis(now.since(probe.at)),
-        },
-    })
+/// A crash, as this host has seen it.
+#[derive(Clone, Copy, Debug)]
+pub struct Crashed {
+    /// The endpoint that crashed.
+    pub endpoint: Identity,
+    /// Time at which the run began.
+    pub began: Instant,
+    /// Time at which the crash was noticed.
+    pub ended: Instant,
 }
 
-fn decode(evidence: &evidence::Evidence, now: Instant) -> Evidence {
-    let id = |run: &evidence::Run| LoadId {
-        holder: run.holder,
-        sequence: run.sequence,
+/// Describes why a suspect is quarantined, for a log line.
+fn describe(suspect: Suspect, entry: &Entry, now: Instant) -> String {
+    let kind = if suspect.is_request() {
+        "request"
+    } else {
+        "segment"
     };
-    let ago = |millis: u32| now.saturating_sub(Duration::from_millis(millis.into()));
-    match evidence {
-        evidence::Evidence::Crash {
-            run,
-            engine,
-            began_ms,
-            ended_ms,
-            segments,
-        } => Evidence::Crash(Crash {
-            run: id(run),
-            engine: Identity(*engine),
-            began: ago(*began_ms),
-            ended: ago(*ended_ms),
-            segments: segments.iter().copied().map(Segment).collect(),
-        }),
-        evidence::Evidence::Cleared { run, segment } => {
-            Evidence::Cleared(id(run), Segment(*segment))
-        }
-        evidence::Evidence::Probe {
-            segment,
-            number,
-            age_ms,
-        } => Evidence::Probe(
-            Segment(*segment),
-            Probe {
-                number: *number,
-                at: ago(*age_ms),
-            },
-        ),
-    }
+    let age = now.since(entry.first_crash).as_millis();
+    let probe = entry.probe_due.map_or_else(
+        || "-".to_owned(),
+        |due| due.since(now).as_millis().to_string(),
+    );
+    format!(
+        "kind={kind} suspect={suspect} endpoints={} age_ms={age} probe_in_ms={probe}",
+        entry.endpoints
+    )
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -57,6 +57,12 @@
         self.directory.lock().ready(service).cloned().collect()
     }
 
+    /// Returns the number of endpoints of a service that accept requests.
+    #[must_use]
+    pub fn count_ready(&self, service: &Service) -> usize {
+        self.directory.lock().ready(service).count()
+    }
+
     /// Returns the endpoint of a service with this identity, if it still accepts requests.
     #[must_use]
     pub fn endpoint(&self, service: &Service, identity: Identity) -> Option<Entry> {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -108,7 +108,7 @@
             domain: domain.clone(),
         };
         let synced = settings.start() == Start::First;
-        let quarantine = Arc::new(Quarantine::new(clock, synced));
+        let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
@@ -191,7 +191,7 @@
     }
 
     /// Whether the host reports itself as ready: it has a configuration, at least one endpoint and
-    /// the other hosts' evidence about segments that crash engines, and it is not draining.
+    /// the other hosts' evidence about requests that crash endpoints, and it is not draining.
     #[must_use]
     pub fn ready(&self) -> bool {
         self.registry.can_serve()
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use kernel::event::Splitter;
 use kernel::outlier::Observation;
-use kernel::quarantine::Crash;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -187,35 +186,17 @@
         probed == Reachability::Refuses
     }
 
-    /// Records that a run broke. If it had only just begun and its engine refuses connections now,
-    /// this is evidence that a segment of its prompt crashes engines.
-    ///
-    /// A broken connection to an engine that accepts connections is none, nor is one to an engine
-    /// that cannot be reached, nor the end of an engine that was to leave.
-    async fn record_break(&self, upstream: &Upstream, splitter: &Splitter) {
-        let (pipeline, engine) = (&self.pipeline, &upstream.engine);
-        let segments = &self.accepted.metadata.segments;
-        let ended = pipeline.clock.now();
+    /// Records that a run broke.
+    async fn record_break(&mut self, upstream: &Upstream, splitter: &Splitter) {
         let run = broken::Run {
-            endpoint: engine,
+            endpoint: &upstream.engine,
             began: upstream.began,
             events: splitter.events() - upstream.events_before,
+            answering: Some(upstream.placement.id()),
         };
-        let reachability = broken::examine(pipeline, &self.accepted, &run).await;
-        if reachability != Some(Reachability::Refuses) {
-            return;
-        }
-        self.record_observation(engine, Observation::Gone);
-        let identity = engine.identity();
-        let in_use = pipeline.registry.endpoint(&self.accepted.service, identity);
-        if in_use.is_some() {
-            pipeline.quarantine.record_crash(Crash {
-                run: upstream.placement.id(),
-                engine: identity,
-                began: upstream.began,
-                ended,
-                segments: segments.clone(),
-            });
+        if broken::examine(&self.pipeline, &self.accepted, &run).await {
+            self.record_observation(&upstream.engine, Observation::Gone);
+            self.engine_crashed = true;
         }
     }
 
@@ -226,9 +207,8 @@
         // An answer without a length may be incomplete, unless `ended_with_engine` has checked it.
         let complete = upstream.exchange.is_framed() || self.accepted.route.resumable;
         if events > 0 && complete {
-            let segments = &self.accepted.metadata.segments;
             let quarantine = &self.pipeline.quarantine;
-            quarantine.record_completion(segments, upstream.began);
+            quarantine.record_completion(&self.accepted.suspects, upstream.began);
         }
     }
 
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -64,6 +64,8 @@
     attempts: Attempts,
     /// The decision of the quarantine, which may change before each attempt.
     admission: Admission,
+    /// Whether an engine crashed since then.
+    engine_crashed: bool,
     prompt_tokens: u64,
     answer_tokens: u64,
     /// Whether the client received the head of the response.
@@ -81,13 +83,9 @@
         .tokens
         .unwrap_or((0, u64::from(profile.stride)));
     let attempts = Attempts::new(&accepted.route);
-    let quarantine = Arc::clone(&pipeline.quarantine);
-    let admitted = quarantine.admit(accepted.id(), &accepted.metadata.segments);
-    let admission = match admitted.await {
+    let admission = match pipeline.admit(&accepted).await {
         Ok(admission) => admission,
-        Err(rest) => {
-            let give_up = GiveUp::Quarantined(rest);
-            quarantine.log_refusal(accepted.id(), &accepted.metadata.segments);
+        Err(give_up) => {
             accepted.log_give_up(&attempts, give_up, pipeline.clock.now());
             return attempts.final_response(give_up);
         }
@@ -95,6 +93,7 @@
     let mut session = Session {
         attempts,
         admission,
+        engine_crashed: false,
         pipeline,
         accepted,
         prompt_tokens,
@@ -134,12 +133,18 @@
             if !self.attempts.allowed() {
                 break GiveUp::Exhausted;
             }
-            let segments = &self.accepted.metadata.segments;
+            if std::mem::take(&mut self.engine_crashed) {
+                match self.pipeline.admit(&self.accepted).await {
+                    Ok(admission) => self.admission = admission,
+                    Err(give_up) => break give_up,
+                }
+            }
+            let suspects = &self.accepted.suspects;
             let quarantine = &self.pipeline.quarantine;
             let placed = tokio::select! {
                 biased;
-                rest = quarantine.wait_until_refused(segments, self.admission) => {
-                    quarantine.log_refusal(self.accepted.id(), segments);
+                rest = quarantine.wait_until_refused(suspects, self.admission) => {
+                    quarantine.log_refusal(self.accepted.id(), suspects);
                     Err(GiveUp::Quarantined(rest))
                 }
                 placed = self.place() => placed,
@@ -211,10 +216,10 @@
                 return Err(None);
             }
         };
-        let segments = &self.accepted.metadata.segments;
+        let suspects = &self.accepted.suspects;
         if pipeline
             .quarantine
-            .recheck(segments, self.admission)
+            .recheck(suspects, self.admission)
             .is_err()
         {
             // The next attempt is refused before it is placed.
@@ -262,8 +267,12 @@
                     endpoint: &engine,
                     began: sent_at,
                     events: 0,
+                    answering: None,
                 };
-                broken::examine(&pipeline, &self.accepted, &run).await;
+                if broken::examine(&pipeline, &self.accepted, &run).await {
+                    self.record_observation(&engine, Observation::Gone);
+                    self.engine_crashed = true;
+                }
                 Err(None)
             }
             Err(_) => {
@@ -301,6 +310,7 @@
                 self.log_send(&engine, "not_run", head.status.as_str());
                 self.attempts
                     .record_rejected(named.unwrap_or_else(|| engine.identity()));
+                self.end_probe();
                 return Err(None);
             }
             ResponseClass::Valid => {}
@@ -333,6 +343,14 @@
         self.log_send(engine, "failed", reason);
         self.record_observation(engine, observation);
         self.attempts.record_run(engine.identity());
+        self.end_probe();
+    }
+
+    /// A request that tests what is quarantined is sent to one engine only.
+    fn end_probe(&mut self) {
+        if self.admission.is_probe() {
+            self.attempts.exhaust();
+        }
     }
 
     fn record_observation(&self, engine: &Entry, observation: Observation) {
--- a/crates/wire/src/evidence.rs
+++ b/crates/wire/src/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence about segments of prompts that crash engines. Times are ages at the time of sending, in
+//! Evidence about requests that crash endpoints, and about segments of their prompts. Times are ages at the time of sending, in
 //! milliseconds.
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,35 @@
         /// Age of the probe.
         age_ms: u32,
     },
+    /// An endpoint crashed soon after it began to run a request.
+    RequestCrash {
+        /// The run.
+        run: Run,
+        /// Identity of the endpoint's incarnation.
+        endpoint: u64,
+        /// Age of the begin of the run.
+        began_ms: u32,
+        /// Age of the crash.
+        ended_ms: u32,
+        /// Fingerprint of the request.
+        request: u128,
+    },
+    /// The crash of a run is not due to the request.
+    RequestCleared {
+        /// The run.
+        run: Run,
+        /// Fingerprint of the request.
+        request: u128,
+    },
+    /// A request was admitted to test whether it still crashes endpoints.
+    RequestProbe {
+        /// Fingerprint of the request.
+        request: u128,
+        /// Number of probes since the request was quarantined, zero before that.
+        number: u32,
+        /// Age of the probe.
+        age_ms: u32,
+    },
 }
 
 /// Identifies one run of a request at one engine.
