--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -5,6 +5,7 @@
 
 mod endpoint;
 mod http1;
+mod link;
 mod log;
 
 use std::io;
@@ -15,6 +16,7 @@
 
 pub use endpoint::{Endpoint, Fault, Run, stream_event};
 pub use http1::Server;
+pub use link::{LinkState, View};
 pub use log::{Copy, Log};
 
 /// Value of the `Host` header that the routes match.
