--- a/crates/fakes/src/site/link.rs
+++ b/crates/fakes/src/site/link.rs
@@ -6,12 +6,15 @@
 use std::sync::Arc;
 
 use tokio::io::copy_bidirectional;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::{Log, Server, Site};
 
+/// Maximum number of connections that wait to be accepted at a link.
+const BACKLOG: u32 = 64;
+
 /// State of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkState {
@@ -50,7 +53,7 @@
         let state = watch::Sender::new(LinkState::Up);
         let mut links = JoinSet::new();
         for endpoint in self.engines.iter().chain(&self.plain_endpoints) {
-            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+            let listener = listen((Ipv4Addr::LOCALHOST, 0).into())?;
             let entry = endpoint.state.entry(listener.local_addr()?, "ready");
             log.state
                 .put("keyed.servers", endpoint.state.name(), &entry);
@@ -64,6 +67,19 @@
     }
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Opens as many connections to a listener as it does not accept, so that further ones stall.
+fn fill(address: SocketAddr) -> JoinSet<io::Result<TcpStream>> {
+    let connections = (0..=BACKLOG).map(|_| TcpStream::connect(address));
+    connections.collect()
+}
+
 /// Forwards the connections of one link. Never returns.
 async fn run(listener: TcpListener, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
     let Ok(address) = listener.local_addr() else {
@@ -71,20 +87,24 @@
     };
     let mut listener = Some(listener);
     let mut connections = JoinSet::new();
+    let mut waiting = None;
     loop {
         let current = *state.borrow_and_update();
-        match (current, &listener) {
-            (LinkState::Reset, _) => {
-                listener = None;
-                connections.abort_all();
-            }
-            (_, None) => listener = TcpListener::bind(address).await.ok(),
-            (_, Some(_)) => {}
+        if current == LinkState::Reset {
+            listener = None;
+            connections.abort_all();
+        } else if listener.is_none() {
+            listener = listen(address).ok();
+        }
+        if current == LinkState::Stalled {
+            waiting.get_or_insert_with(|| fill(address));
+        } else {
+            drop(waiting.take());
         }
         let accepted = async {
             match &listener {
-                Some(listener) => listener.accept().await,
-                None => std::future::pending().await,
+                Some(listener) if current == LinkState::Up => listener.accept().await,
+                _ => std::future::pending().await,
             }
         };
         tokio::select! {
