--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -50,7 +50,9 @@
     }
     let endpoint = run.endpoint.identity();
     let in_use = pipeline.registry.endpoint(&accepted.service, endpoint);
-    if in_use.is_some() {
+    // On a host that reaches no endpoint at all, each of them looks as if it had crashed.
+    let is_cut = pipeline.links.reaches_no_other(run.endpoint.address).await;
+    if in_use.is_some() && !is_cut {
         let crashed = Crashed {
             endpoint,
             began: run.began,
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -451,7 +451,8 @@
             | Item::SyncRequest
             | Item::SyncEnd
             | Item::Limit(_)
-            | Item::Request(_) => {}
+            | Item::Request(_)
+            | Item::Serves(_) => {}
         }
     }
 
