--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -113,13 +113,6 @@
         live.map(|(host, contact)| (host, contact.address))
     }
 
-    /// Returns the hosts that were heard recently, with their incarnations and failure domains.
-    pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Host, u64, Option<&Domain>)> {
-        let hosts = self.hosts.iter();
-        let recent = hosts.filter(move |(_, contact)| now.since(contact.last_seen) <= TIMEOUT);
-        recent.filter_map(|(host, contact)| Some((host, contact.holder?, contact.domain.as_ref())))
-    }
-
     /// Returns the address of a host.
     #[must_use]
     pub fn address(&self, host: &Host) -> Option<SocketAddr> {
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -105,9 +105,6 @@
     /// Builds the end-to-end headers of a forwarded request from the client's headers.
     fn build_headers(&self, headers: &HeaderMap, forwarding: &Forwarding<'_>) -> HeaderMap;
 
-    /// Sets the time left until the client gives up.
-    fn set_remaining(&self, headers: &mut HeaderMap, remaining: Duration);
-
     /// Classifies the response to the attempt `id` by its status and headers.
     fn classify_response(
         &self,
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -116,18 +116,6 @@
         self.record_rejected(endpoint);
     }
 
-    /// Whether another host may run the request.
-    #[must_use]
-    pub const fn may_run_elsewhere(&self) -> bool {
-        self.repeatable || !self.maybe_ran
-    }
-
-    /// Records that another host may have run the request.
-    pub const fn record_detour(&mut self) {
-        self.maybe_ran = true;
-        self.sent += 1;
-    }
-
     /// Disallows further attempts.
     pub const fn exhaust(&mut self) {
         self.runs_left = 0;
--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -50,9 +50,7 @@
     }
     let endpoint = run.endpoint.identity();
     let in_use = pipeline.registry.endpoint(&accepted.service, endpoint);
-    // On a host that reaches no endpoint at all, each of them looks as if it had crashed.
-    let is_cut = pipeline.links.reaches_no_other(run.endpoint.address).await;
-    if in_use.is_some() && !is_cut {
+    if in_use.is_some() {
         let crashed = Crashed {
             endpoint,
             began: run.began,
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -8,7 +8,6 @@
 
 use kernel::catalogue::Identity;
 use kernel::contact::{Contacts, Heard};
-use kernel::detour::Candidate;
 use kernel::fleet::Fleet;
 use kernel::name::Host;
 use kernel::turn;
@@ -21,7 +20,6 @@
 use crate::adapter::{Location, Topic};
 use crate::clock::Clock;
 use crate::follow::PeerVersion;
-use crate::link::Links;
 use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::quarantine::Quarantine;
@@ -54,8 +52,6 @@
     pub peer_version: Arc<PeerVersion>,
     /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
-    /// The links to the endpoints.
-    pub links: Arc<Links>,
 }
 
 /// The other hosts and when each of them last sent a datagram.
@@ -135,24 +131,6 @@
         live.count() + 1
     }
 
-    /// Returns the hosts that are heard and may serve requests of this one.
-    pub fn candidates(&self) -> impl Iterator<Item = Candidate> {
-        let contacts = self.contacts.lock();
-        let live = contacts.live(self.clock.now());
-        let candidates = live.map(|(host, holder, domain)| Candidate {
-            host: host.clone(),
-            holder,
-            is_near: domain == Some(&self.location.domain),
-        });
-        candidates.collect::<Vec<_>>().into_iter()
-    }
-
-    /// Returns the address of a host, for datagrams and for connections.
-    #[must_use]
-    pub fn address(&self, host: &Host) -> Option<SocketAddr> {
-        self.contacts.lock().address(host)
-    }
-
     /// Reports a read of the store to the other hosts of the failure domain.
     pub async fn report(&self, read: Read) {
         let addresses: Vec<_> = {
@@ -201,7 +179,6 @@
             let due = tokio::select! {
                 () = self.placer.updated.notified() => false,
                 () = self.tables.quarantine.updated.notified() => false,
-                () = self.tables.links.updated.notified() => false,
                 () = sleep(wait) => true,
             };
             if due {
@@ -218,7 +195,6 @@
                 let mut repeated = self.tables.quarantine.repeated();
                 repeated.extend(self.tables.notices.repeated_limits());
                 self.send_items(snapshot, Scope::Updates, repeated).await;
-                self.send_statement(snapshot).await;
                 self.request_state();
             } else {
                 sleep(BATCH_WINDOW).await;
@@ -226,20 +202,10 @@
                 updates.extend(self.tables.quarantine.take_updates());
                 let snapshot = self.snapshot.load(Ordering::Relaxed);
                 self.send_items(snapshot, Scope::Updates, updates).await;
-                self.send_statement(snapshot).await;
             }
         }
     }
 
-    /// Says whether this host serves requests of other hosts, if that has changed recently. Hosts of
-    /// an older build reject datagrams with such an item, so it has one of its own.
-    async fn send_statement(&self, snapshot: u32) {
-        if let Some(statement) = self.tables.links.repeated() {
-            self.send_items(snapshot, Scope::Updates, vec![statement])
-                .await;
-        }
-    }
-
     /// Sends items to the other hosts in as many datagrams as needed. `snapshot` is the number of
     /// the last snapshot.
     async fn send_items(&self, snapshot: u32, scope: Scope, items: Vec<Item>) {
@@ -295,11 +261,7 @@
         items.extend(self.tables.notices.limits());
         items.push(last);
         let snapshot = self.snapshot.load(Ordering::Relaxed);
-        let statement = [self.tables.links.statement()];
-        for chunk in [&statement[..]]
-            .into_iter()
-            .chain(items.chunks(MAX_SYNC_ITEMS))
-        {
+        for chunk in items.chunks(MAX_SYNC_ITEMS) {
             let frame = self.build_frame(snapshot, Scope::Updates, chunk.to_vec());
             let sent = datagram::encode(TAG_KEY, &frame)
                 .map_err(|error| error.to_string())
@@ -394,10 +356,6 @@
                     let notices = &self.tables.notices;
                     notices.apply_forwarded_request(Identity(*identity));
                 }
-                Item::Serves(serves) => {
-                    let mut peers = self.tables.links.peers.lock();
-                    peers.record_statement(&host, frame.holder, *serves);
-                }
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -53,11 +53,6 @@
     metrics::counter!("filbertstage_quarantine_total", "event" => event).increment(1);
 }
 
-/// Counts a request that is sent to another host because this one reaches no endpoints.
-pub(crate) fn count_detour(outcome: &'static str) {
-    metrics::counter!("filbertstage_detours_total", "outcome" => outcome).increment(1);
-}
-
 /// Counts a return of the store from an older copy, as seen by the reader of a topic.
 pub(crate) fn count_restore(topic: &'static str) {
     metrics::counter!("filbertstage_store_restores_total", "topic" => topic).increment(1);
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -11,7 +11,7 @@
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
 use kernel::fingerprint::Fingerprint;
-use kernel::name::{Domain, Host, Service, Workspace};
+use kernel::name::{Domain, Service, Workspace};
 use kernel::quarantine::Suspect;
 use kernel::segment;
 use parking_lot::Mutex;
@@ -24,14 +24,12 @@
 use crate::clock::Clock;
 use crate::fingerprint::Hasher;
 use crate::headers::{encoded_len, end_to_end, error_response};
-use crate::hosts::Hosts;
-use crate::link::Links;
 use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
 use crate::transport::Dialer;
-use crate::{detour, observe, plain, stream};
+use crate::{observe, plain, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -50,10 +48,6 @@
     pub balancer: Arc<Mutex<Balancer>>,
     /// Applies what endpoints announce about themselves.
     pub notices: Arc<Notices>,
-    /// This host's links to the endpoints.
-    pub links: Arc<Links>,
-    /// The other hosts.
-    pub hosts: Arc<Hosts>,
     /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
     /// Retry budgets of the services.
@@ -80,31 +74,6 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
-    /// Sends a client's request to another host if this one is cut off from the endpoints. Returns
-    /// `None` if it is not, or if no other host serves the request.
-    pub(crate) async fn detour(
-        &self,
-        accepted: &Accepted,
-        attempts: &mut Attempts,
-    ) -> Option<Response<Body>> {
-        if self.may_detour(accepted) {
-            detour::run(self, accepted, attempts).await
-        } else {
-            None
-        }
-    }
-
-    /// Whether a request is a client's and this host is cut off from the endpoints.
-    pub(crate) fn may_detour(&self, accepted: &Accepted) -> bool {
-        accepted.origin == Origin::Client && self.links.is_cut()
-    }
-
-    /// Records that another host could not be reached or broke a request off.
-    pub(crate) fn record_peer_failure(&self, host: &Host) {
-        let now = self.clock.now();
-        self.links.peers.lock().record_failure(host, now);
-    }
-
     /// Decides whether a request may be sent, or sent once more after an endpoint crashed on it.
     pub(crate) async fn admit(&self, accepted: &Accepted) -> Result<Admission, GiveUp> {
         let endpoints = self.registry.count_ready(&accepted.service).max(1);
@@ -121,18 +90,8 @@
     }
 }
 
-/// Who sent a request to this host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A client.
-    Client,
-    /// Another host, which is cut off from the endpoints.
-    Host,
-}
-
 /// A request that was read, routed and admitted.
 pub(crate) struct Accepted {
-    pub origin: Origin,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -207,26 +166,12 @@
         *request.headers_mut() = dialect.build_headers(&self.headers, forwarding);
         request
     }
-
-    /// Builds the request that is sent to another host: the client's own, with the time that is left.
-    pub fn detoured(&self, dialect: &dyn Dialect, remaining: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        dialect.set_remaining(request.headers_mut(), remaining);
-        request
-    }
 }
 
-/// Handles one request and returns its response.
-pub async fn handle(
-    pipeline: Arc<Pipeline>,
-    request: Request<Incoming>,
-    origin: Origin,
-) -> Response<Body> {
+/// Handles one client request and returns its response.
+pub async fn handle(pipeline: Arc<Pipeline>, request: Request<Incoming>) -> Response<Body> {
     let arrived = pipeline.clock.now();
-    match accept(&pipeline, request, origin, arrived).await {
+    match accept(&pipeline, request, arrived).await {
         Err(response) => {
             observe::count_request(None, response.status());
             response
@@ -241,10 +186,6 @@
 }
 
 async fn serve(pipeline: Arc<Pipeline>, accepted: Accepted) -> Response<Body> {
-    let mut attempts = Attempts::new(&accepted.route);
-    if let Some(response) = pipeline.detour(&accepted, &mut attempts).await {
-        return response;
-    }
     pipeline.budgets.deposit(&accepted.service);
     let engine = pipeline
         .registry
@@ -264,7 +205,6 @@
 async fn accept(
     pipeline: &Pipeline,
     request: Request<Incoming>,
-    origin: Origin,
     arrived: Instant,
 ) -> Result<Accepted, Response<Body>> {
     let (head, body) = request.into_parts();
@@ -306,7 +246,6 @@
     let segments = metadata.segments.iter().copied().map(Suspect::Segment);
     let request = Suspect::Request(fingerprint);
     Ok(Accepted {
-        origin,
         suspects: segments.chain([request]).collect(),
         fingerprint,
         method: head.method,
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -451,8 +451,7 @@
             | Item::SyncRequest
             | Item::SyncEnd
             | Item::Limit(_)
-            | Item::Request(_)
-            | Item::Serves(_) => {}
+            | Item::Request(_) => {}
         }
     }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -18,7 +18,7 @@
 use crate::transport::Failure;
 
 /// Maximum response size of a plain service, in bytes.
-pub(crate) const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Attempt timeout of a call that may be retried, as a multiple of the route's objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 4;
 
@@ -72,9 +72,6 @@
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
-        if let Some(response) = pipeline.detour(accepted, &mut attempts).await {
-            return response;
-        }
         let admission = match admitted {
             Ok(admission) => admission,
             Err(give_up) => break give_up,
@@ -227,9 +224,6 @@
 /// Records the outcome for the endpoint's health, and logs every outcome but a response.
 fn record_outcome(pipeline: &Pipeline, accepted: &Accepted, entry: &Entry, result: &Outcome) {
     let now = pipeline.clock.now();
-    if !matches!(result, Outcome::Response(..) | Outcome::NotRun) {
-        pipeline.links.suspect();
-    }
     let record = |seen| pipeline.balancer.lock().record(entry.identity(), seen, now);
     let (outcome, reason) = match result {
         Outcome::Response(..) => return record(Observation::Succeeded),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,10 +25,9 @@
 use crate::clock::Clock;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::{Hosts, Tables};
-use crate::link::Links;
 use crate::notice::Notices;
 use crate::observe;
-use crate::pipeline::{Origin, Pipeline};
+use crate::pipeline::Pipeline;
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
@@ -64,7 +63,6 @@
 pub struct Relay {
     registry: Arc<Registry>,
     quarantine: Arc<Quarantine>,
-    links: Arc<Links>,
     server: Arc<Server>,
     draining: Arc<AtomicBool>,
     client_address: SocketAddr,
@@ -79,7 +77,6 @@
     /// # Errors
     ///
     /// Returns the I/O error of an address that cannot be bound.
-    #[allow(clippy::too_many_lines)]
     pub async fn start(
         settings: &Settings,
         dependencies: Dependencies,
@@ -89,7 +86,6 @@
             clients,
             readiness,
             socket,
-            hosts: peers,
             metrics,
         } = Listeners::bind(&settings.listen).await?;
         let address = clients.local_addr()?;
@@ -102,40 +98,29 @@
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
         let balancer = Arc::new(Mutex::new(Balancer::default()));
-        let notices = Arc::new(Notices::new(&registry, &placer, &balancer, clock));
+        let notices = Notices::new(&registry, &placer, &balancer, clock);
+        let notices = Arc::new(notices);
+        let own = Host::from(settings.host.as_str());
         let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
         let location = Location {
             address: socket.local_addr()?,
             domain: domain.clone(),
         };
-        let quarantine = Arc::new(Quarantine::new(
-            clock,
-            holder,
-            settings.start() == Start::First,
-        ));
-        let links = Links::shared(clock, &dialer, &registry);
+        let synced = settings.start() == Start::First;
+        let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
-            links: Arc::clone(&links),
         };
-        let hosts = Arc::new(Hosts::new(
-            settings.host.as_str().into(),
-            holder,
-            location,
-            socket,
-            tables,
-        ));
+        let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
             balancer,
             notices,
-            links: Arc::clone(&links),
-            hosts: Arc::clone(&hosts),
             quarantine: Arc::clone(&quarantine),
             budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
@@ -168,8 +153,7 @@
         tasks.spawn(hosts.receive());
         tasks.spawn(assign_periodically(placer));
         tasks.spawn(sweep_periodically(pipeline));
-        tasks.spawn(Arc::clone(&links).watch());
-        spawn_servers(&mut tasks, &server, clients, peers);
+        tasks.spawn(Arc::clone(&server).accept(clients));
         let admin = Admin {
             registry: Arc::clone(&registry),
             quarantine: Arc::clone(&quarantine),
@@ -185,7 +169,6 @@
         Ok(Self {
             registry,
             quarantine,
-            links,
             server,
             draining,
             client_address: address,
@@ -223,7 +206,6 @@
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.server.running());
         self.draining.store(true, Ordering::SeqCst);
-        self.links.drain();
         self.server.enter(Stage::Draining);
         let drained = timeout(self.grace.saturating_sub(EXIT_MARGIN), async {
             sleep(DEREGISTRATION_DELAY).await;
@@ -251,44 +233,22 @@
 struct Listeners {
     clients: TcpListener,
     readiness: TcpListener,
-    /// Datagrams of other hosts.
     socket: Arc<UdpSocket>,
-    /// Connections of other hosts, on the same port.
-    hosts: TcpListener,
     metrics: Option<TcpListener>,
 }
 
 impl Listeners {
     async fn bind(listen: &Listen) -> io::Result<Self> {
-        let (hosts, socket) = Self::bind_hosts(listen.hosts).await?;
         Ok(Self {
             clients: TcpListener::bind(listen.clients).await?,
             readiness: TcpListener::bind(listen.readiness).await?,
-            socket: Arc::new(socket),
-            hosts,
+            socket: Arc::new(UdpSocket::bind(listen.hosts).await?),
             metrics: match listen.metrics {
                 Some(address) => Some(TcpListener::bind(address).await?),
                 None => None,
             },
         })
     }
-
-    /// Binds a port for connections and datagrams of other hosts. If any port will do, one that is
-    /// free for both is searched.
-    async fn bind_hosts(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
-        /// Number of ports to try.
-        const MAX_PORTS: usize = 16;
-        let mut tried = 0;
-        loop {
-            let listener = TcpListener::bind(address).await?;
-            tried += 1;
-            match UdpSocket::bind(listener.local_addr()?).await {
-                Ok(socket) => return Ok((listener, socket)),
-                Err(_) if address.port() == 0 && tried < MAX_PORTS => {}
-                Err(error) => return Err(error),
-            }
-        }
-    }
 }
 
 /// What the readiness probe and the admin listener report.
@@ -329,17 +289,6 @@
     }
 }
 
-/// Spawns the listeners for clients and for other hosts.
-fn spawn_servers(
-    tasks: &mut JoinSet<()>,
-    server: &Arc<Server>,
-    clients: TcpListener,
-    peers: TcpListener,
-) {
-    tasks.spawn(Arc::clone(server).accept(clients, Origin::Client));
-    tasks.spawn(Arc::clone(server).accept(peers, Origin::Host));
-}
-
 /// Spawns the listeners for readiness probes and for operators.
 fn spawn_admin(
     tasks: &mut JoinSet<()>,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -24,7 +24,7 @@
 use crate::body::{Body, Error};
 use crate::clock::Clock;
 use crate::headers::error_response;
-use crate::pipeline::{self, Origin, Pipeline};
+use crate::pipeline::{self, Pipeline};
 use crate::transport;
 
 /// Maximum buffer size of a client connection, in bytes. The head of a request must fit into it.
@@ -147,12 +147,12 @@
         self.stage.send_replace(stage);
     }
 
-    /// Accepts connections of clients or of other hosts until the task is aborted.
-    pub async fn accept(self: Arc<Self>, listener: TcpListener, origin: Origin) {
+    /// Accepts connections until the task is aborted.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(Arc::clone(&self).serve(stream, origin));
+                    tokio::spawn(Arc::clone(&self).serve(stream));
                 }
                 Err(error) => {
                     log::warn!("event=not_accepted error=\"{error}\"");
@@ -162,7 +162,7 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream, origin: Origin) {
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
         if let Err(error) = transport::configure_socket(&stream) {
             log::debug!("event=connection_lost error={error}");
             return;
@@ -176,7 +176,7 @@
         let connection_activity = Arc::clone(&activity);
         let service = service_fn(move |request| {
             let guard = ActiveRequest::start(Arc::clone(&server), Arc::clone(&connection_activity));
-            Arc::clone(&server).respond(request, origin, guard)
+            Arc::clone(&server).respond(request, guard)
         });
         let mut builder = Builder::new();
         builder
@@ -238,7 +238,6 @@
     async fn respond(
         self: Arc<Self>,
         request: Request<Incoming>,
-        origin: Origin,
         active: ActiveRequest,
     ) -> Result<Response<TrackedBody>, Infallible> {
         let mut response = if *self.stage.borrow() == Stage::Closing {
@@ -246,7 +245,7 @@
             let retry_after = Some(CLOSING_RETRY_AFTER);
             error_response(StatusCode::SERVICE_UNAVAILABLE, retry_after, reason)
         } else {
-            pipeline::handle(Arc::clone(&self.pipeline), request, origin).await
+            pipeline::handle(Arc::clone(&self.pipeline), request).await
         };
         if *self.stage.borrow() != Stage::Serving {
             let close = HeaderValue::from_static("close");
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -105,10 +105,6 @@
         Ok(upstream) => session.respond(upstream),
         Err(OpenError::Failed(head, body)) => build_response(&head, body),
         Err(OpenError::GiveUp(give_up)) => {
-            let (accepted, attempts) = (&session.accepted, &mut session.attempts);
-            if let Some(response) = session.pipeline.detour(accepted, attempts).await {
-                return response;
-            }
             let now = session.pipeline.clock.now();
             session
                 .accepted
@@ -134,7 +130,7 @@
     async fn open(&mut self, resume_after: Option<&str>) -> Result<Upstream, OpenError> {
         let mut failure = None;
         let give_up = loop {
-            if !self.attempts.allowed() || self.may_detour() {
+            if !self.attempts.allowed() {
                 break GiveUp::Exhausted;
             }
             if std::mem::take(&mut self.engine_crashed) {
@@ -151,7 +147,6 @@
                     quarantine.log_refusal(self.accepted.id(), suspects);
                     Err(GiveUp::Quarantined(rest))
                 }
-                () = self.wait_for_detour() => Err(GiveUp::Exhausted),
                 placed = self.place() => placed,
             };
             let placement = match placed {
@@ -170,19 +165,6 @@
         })
     }
 
-    /// Whether another host may serve the request instead of this one.
-    fn may_detour(&self) -> bool {
-        !self.head_sent && self.pipeline.may_detour(&self.accepted)
-    }
-
-    /// Returns once [`Session::may_detour`], if ever.
-    async fn wait_for_detour(&self) {
-        self.pipeline.links.wait_until_cut().await;
-        if !self.may_detour() {
-            std::future::pending::<()>().await;
-        }
-    }
-
     async fn place(&self) -> Result<Placement, GiveUp> {
         let accepted = &self.accepted;
         let remaining = accepted.deadline.since(self.pipeline.clock.now());
@@ -372,9 +354,6 @@
     }
 
     fn record_observation(&self, engine: &Entry, observation: Observation) {
-        if observation != Observation::Succeeded {
-            self.pipeline.links.suspect();
-        }
         let service = &self.accepted.service;
         let identity = engine.identity();
         self.pipeline
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -63,8 +63,6 @@
     Limit(Limit),
     /// The sender sends a request to the endpoint with this identity, which names a limit.
     Request(u64),
-    /// Whether the sender reaches endpoints and serves requests of hosts that do not.
-    Serves(bool),
 }
 
 /// The limit that an endpoint names.
