--- a/crates/kernel/src/catalogue/configuration.rs
+++ b/crates/kernel/src/catalogue/configuration.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::name::{Service, Workspace};
+use crate::name::{Region, Service, Workspace};
+use crate::pace::Rate;
 
 /// How often the requests of a route may be executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +59,8 @@
     pub anonymous: bool,
     /// Whether a stream may resume at another endpoint after its last complete event.
     pub resumable: bool,
+    /// Regions in which requests may run; empty if they may run anywhere.
+    pub homes: Vec<Region>,
 }
 
 impl Route {
@@ -143,6 +146,17 @@
     pub connection_limit: u32,
     /// Profile of the engines; `None` for a plain service, which has no engines.
     pub engine: Option<Profile>,
+    /// How endpoints behave after their start; `None` if they are never cold.
+    pub cold: Option<Cold>,
+}
+
+/// How endpoints of a service behave after their start, or when they become cold again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Time for which an endpoint is cold after it starts.
+    pub duration: Duration,
+    /// Requests that a cold endpoint accepts from all hosts together.
+    pub rate: Rate,
 }
 
 /// Limits on client requests and connections.
@@ -167,6 +181,8 @@
     pub keys: Vec<String>,
     /// Priority that overrides the route's; requests with a lower number start first.
     pub priority: Option<u32>,
+    /// Regions in which requests may run; empty if they may run anywhere.
+    pub homes: Vec<Region>,
 }
 
 /// Reason why a request is denied.
--- a/crates/kernel/src/catalogue/directory.rs
+++ b/crates/kernel/src/catalogue/directory.rs
@@ -46,6 +46,8 @@
     pub slots: u32,
     /// State that the endpoint reports.
     pub state: State,
+    /// Time until the endpoint is warm, at the time when it wrote the entry.
+    pub cold: Duration,
 }
 
 impl Entry {
--- a/crates/kernel/src/catalogue/mod.rs
+++ b/crates/kernel/src/catalogue/mod.rs
@@ -8,7 +8,8 @@
 mod directory;
 
 pub use configuration::{
-    Allowed, Configuration, Denied, Kind, Limits, Profile, Route, ServiceEntry, Target, Tenant,
+    Allowed, Cold, Configuration, Denied, Kind, Limits, Profile, Route, ServiceEntry, Target,
+    Tenant,
 };
 pub use directory::{Directory, Entry, Identity, State};
 
--- a/crates/kernel/src/name.rs
+++ b/crates/kernel/src/name.rs
@@ -49,6 +49,10 @@
     /// A failure domain: hosts and endpoints that lose connectivity together.
     Domain
 }
+name! {
+    /// A group of failure domains in which requests of some routes and workspaces must stay.
+    Region
+}
 name! {
     /// A customer account: its requests share one plan and its limits.
     Workspace
--- a/crates/kernel/tests/catalogue.rs
+++ b/crates/kernel/tests/catalogue.rs
@@ -26,6 +26,7 @@
         attempts: 2,
         anonymous,
         resumable: false,
+        homes: Vec::new(),
     }
 }
 
@@ -45,6 +46,7 @@
         workspace: Workspace::from("club"),
         keys: vec!["key".to_owned()],
         priority: Some(1),
+        homes: Vec::new(),
     }];
     Configuration::new(version, routes, BTreeMap::new(), limits, Some(tenants))
 }
@@ -58,6 +60,7 @@
         domain: Domain::from("cannock"),
         slots: 6,
         state,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -40,6 +40,7 @@
         domain: Domain::from("cannock"),
         slots: 16,
         state: State::Ready,
+        cold: Duration::ZERO,
     };
     (0..count).map(entry).collect()
 }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -13,8 +13,10 @@
 use kernel::turn;
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use wire::datagram;
+use wire::extension::{self, Extension};
 use wire::placement::{Item, Placements, Read, Scope};
 
 use crate::adapter::{Location, Topic};
@@ -42,6 +44,24 @@
 /// secret. The tag detects datagrams that were damaged, but not forged ones.
 const TAG_KEY: &[u8] = b"filbertstage";
 
+/// The host that sent an extension.
+#[derive(Clone, Copy, Debug)]
+pub struct Sender<'a> {
+    /// Name of the host.
+    pub host: &'a Host,
+    /// Incarnation of the host.
+    pub holder: u64,
+}
+
+/// A part of the system that exchanges extensions with its counterparts on the other hosts.
+pub trait Exchange: Send + Sync {
+    /// Applies an extension of another host. Extensions of other parts are ignored.
+    fn apply(&self, sender: Sender<'_>, extension: &Extension);
+
+    /// Returns what is sent with each snapshot, so that the loss of a datagram is repaired.
+    fn repeated(&self) -> Vec<Extension>;
+}
+
 /// The tables that the other hosts' reports change, beside placements.
 pub struct Tables {
     /// What endpoints announce about themselves.
@@ -52,6 +72,8 @@
     pub peer_version: Arc<PeerVersion>,
     /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
+    /// The parts that exchange extensions.
+    pub exchanges: Vec<Arc<dyn Exchange>>,
 }
 
 /// The other hosts and when each of them last sent a datagram.
@@ -69,6 +91,10 @@
     /// Hosts whose state is missing, with the number of requests for it that are left.
     unsynced: Mutex<BTreeMap<Host, u8>>,
     inboxes: Arc<Inboxes>,
+    /// Extensions that have not been sent yet.
+    published: Mutex<Vec<Extension>>,
+    /// Wakes the task that sends them.
+    publication: Notify,
 }
 
 impl Hosts {
@@ -94,6 +120,8 @@
             contacts: Mutex::default(),
             unsynced: Mutex::default(),
             inboxes: Arc::default(),
+            published: Mutex::default(),
+            publication: Notify::new(),
         }
     }
 
@@ -160,6 +188,42 @@
         }
     }
 
+    /// Sends extensions to the other hosts at once.
+    pub fn publish(&self, extensions: impl IntoIterator<Item = Extension>) {
+        self.published.lock().extend(extensions);
+        self.publication.notify_one();
+    }
+
+    /// Returns what the parts repeat with each snapshot.
+    fn repeated_extensions(&self) -> Vec<Extension> {
+        let exchanges = self.tables.exchanges.iter();
+        exchanges.flat_map(|exchange| exchange.repeated()).collect()
+    }
+
+    /// Encodes a frame without items that carries extensions.
+    fn encode_extensions(&self, extensions: &[Extension]) -> Option<Vec<u8>> {
+        let snapshot = self.snapshot.load(Ordering::Relaxed);
+        let frame = self.build_frame(snapshot, Scope::Updates, Vec::new());
+        let encoded = datagram::encode_with(TAG_KEY, &frame, &extension::encode(extensions));
+        if encoded.is_err() {
+            log::error!("event=frame_too_large extensions={}", extensions.len());
+        }
+        encoded.ok()
+    }
+
+    /// Sends each extension in a datagram of its own, so that each fits into one packet.
+    async fn send_extensions(&self, extensions: &[Extension]) {
+        let addresses: Vec<_> = {
+            let contacts = self.contacts.lock();
+            contacts.update_targets(self.clock.now()).collect()
+        };
+        for extension in extensions.chunks(1) {
+            if let Some(bytes) = self.encode_extensions(extension) {
+                self.send_bytes(&bytes, &addresses).await;
+            }
+        }
+    }
+
     fn build_frame(&self, snapshot: u32, scope: Scope, items: Vec<Item>) -> Placements {
         Placements {
             host: self.own.as_str().to_owned(),
@@ -179,6 +243,7 @@
             let due = tokio::select! {
                 () = self.placer.updated.notified() => false,
                 () = self.tables.quarantine.updated.notified() => false,
+                () = self.publication.notified() => false,
                 () = sleep(wait) => true,
             };
             if due {
@@ -195,6 +260,7 @@
                 let mut repeated = self.tables.quarantine.repeated();
                 repeated.extend(self.tables.notices.repeated_limits());
                 self.send_items(snapshot, Scope::Updates, repeated).await;
+                self.send_extensions(&self.repeated_extensions()).await;
                 self.request_state();
             } else {
                 sleep(BATCH_WINDOW).await;
@@ -202,6 +268,8 @@
                 updates.extend(self.tables.quarantine.take_updates());
                 let snapshot = self.snapshot.load(Ordering::Relaxed);
                 self.send_items(snapshot, Scope::Updates, updates).await;
+                let published = std::mem::take(&mut *self.published.lock());
+                self.send_extensions(&published).await;
             }
         }
     }
@@ -263,25 +331,35 @@
         let snapshot = self.snapshot.load(Ordering::Relaxed);
         for chunk in items.chunks(MAX_SYNC_ITEMS) {
             let frame = self.build_frame(snapshot, Scope::Updates, chunk.to_vec());
-            let sent = datagram::encode(TAG_KEY, &frame)
-                .map_err(|error| error.to_string())
-                .and_then(|bytes| {
-                    let sent = self.socket.try_send_to(&bytes, address);
-                    sent.map_err(|error| error.to_string())
-                });
-            if let Err(error) = sent {
-                log::debug!("event=not_told address={address} error=\"{error}\"");
+            if let Ok(bytes) = datagram::encode(TAG_KEY, &frame) {
+                self.try_send(&bytes, address);
+            }
+        }
+        for extension in self.repeated_extensions().chunks(1) {
+            if let Some(bytes) = self.encode_extensions(extension) {
+                self.try_send(&bytes, address);
             }
         }
     }
 
+    /// Sends a datagram that is lost if the socket does not take it at once.
+    fn try_send(&self, bytes: &[u8], address: SocketAddr) {
+        if let Err(error) = self.socket.try_send_to(bytes, address) {
+            log::debug!("event=not_told address={address} error=\"{error}\"");
+        }
+    }
+
     async fn send_frame(&self, frame: &Placements, addresses: &[SocketAddr]) {
         let Ok(bytes) = datagram::encode(TAG_KEY, frame) else {
             log::error!("event=frame_too_large items={}", frame.items.len());
             return;
         };
+        self.send_bytes(&bytes, addresses).await;
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], addresses: &[SocketAddr]) {
         for address in addresses {
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
+            if let Err(error) = self.socket.send_to(bytes, address).await {
                 log::debug!("event=not_told address={address} error={error}");
             }
         }
@@ -308,14 +386,14 @@
                     continue;
                 }
             };
-            match datagram::decode::<Placements>(TAG_KEY, &buffer[..length]) {
-                Ok(frame) => self.handle_frame(&frame, from),
+            match datagram::decode_with::<Placements>(TAG_KEY, &buffer[..length]) {
+                Ok((frame, rest)) => self.handle_frame(&frame, &extension::decode(rest), from),
                 Err(error) => log::warn!("event=datagram_rejected from={from} error=\"{error}\""),
             }
         }
     }
 
-    fn handle_frame(&self, frame: &Placements, from: SocketAddr) {
+    fn handle_frame(&self, frame: &Placements, extensions: &[Extension], from: SocketAddr) {
         if frame.holder == self.holder {
             return;
         }
@@ -359,6 +437,15 @@
                 Item::Put(_) | Item::Prefilled(_) | Item::Done(_) => {}
             }
         }
+        let sender = Sender {
+            host: &host,
+            holder: frame.holder,
+        };
+        for extension in extensions {
+            for exchange in &self.tables.exchanges {
+                exchange.apply(sender, extension);
+            }
+        }
         self.placer.apply_frame(frame);
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -114,6 +114,7 @@
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
+            exchanges: Vec::new(),
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -135,6 +135,8 @@
             } else {
                 State::Ready
             },
+            // Sent as an extension, because this format has no field for it.
+            cold: Duration::ZERO,
         }),
         Change::Removed(name) => Record::EndpointRemoved(Endpoint::from(name.as_str())),
         Change::Unreadable => Record::Unreadable {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a host that serves a published catalogue.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
     pub host: String,
     /// Failure domain of the host.
     pub domain: String,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<String, String>,
     /// Whether the whole fleet starts for the first time, so that no host has run before.
     pub first_start: bool,
     /// Addresses to listen on.
@@ -76,6 +79,9 @@
     /// Milliseconds between two writes of an endpoint's entry in the store, which removes the entry
     /// after [`MISSED_HEARTBEATS`] of them.
     pub heartbeat_ms: u64,
+    /// Milliseconds within which requests to the endpoints of a failure domain must stop after its
+    /// evacuation is published.
+    pub evacuation_ms: u64,
 }
 
 /// Number of missed writes after which the store removes an endpoint's entry.
@@ -148,6 +154,7 @@
             apply_ms: 2_000,
             drain_ms: 2_000,
             heartbeat_ms: 1_200,
+            evacuation_ms: 5_000,
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod auth;
 pub mod datagram;
 pub mod evidence;
+pub mod extension;
 mod frame;
 pub mod placement;
 pub mod stream;
