--- a/crates/wire/tests/extension.rs
+++ b/crates/wire/tests/extension.rs
@@ -73,7 +73,7 @@
         kind,
         body: body.to_vec(),
     };
-    let sections = [
+    let sections = vec![
         section(60_000, &[1, 2, 3]),
         section(1, &[255]),
         section(3, &[1]),
