Avoid an engine at which other hosts of the domain have just failed

Change: hosts of one failure domain tell each other at once of failures at engines. The second host that fails within a second ejects the engine for half a second on all of them. Hosts that report more than a third of the engines do not count.

--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -113,6 +113,12 @@
         live.map(|(host, contact)| (host, contact.address))
     }
 
+    /// Returns the failure domain of a host, if its announcement was read.
+    #[must_use]
+    pub fn domain(&self, host: &Host) -> Option<&Domain> {
+        self.hosts.get(host)?.domain.as_ref()
+    }
+
     /// Returns the address of a host.
     #[must_use]
     pub fn address(&self, host: &Host) -> Option<SocketAddr> {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod cost;
 pub mod deferred;
 pub mod event;
+pub mod failure;
 pub mod fingerprint;
 pub mod fleet;
 pub mod fold;
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -137,6 +137,12 @@
         self.eject(now, self.failures - 1);
     }
 
+    /// Ejects the endpoint for a short time because other hosts report failures. It counts as no failure of this host's
+    /// own requests.
+    pub fn record_reported(&mut self, now: Instant) {
+        self.ejected_until = self.ejected_until.max(Some(now + FIRST_EJECTION));
+    }
+
     fn eject(&mut self, now: Instant, doublings: u32) {
         let time = FIRST_EJECTION * 2_u32.pow(doublings.min(MAX_DOUBLINGS));
         self.ejected_until = Some(now + time.min(MAX_EJECTION));
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -9,6 +9,7 @@
 use super::speed::{Speed, duration_from_ms};
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
+use crate::failure::Reports;
 use crate::name::Domain;
 use crate::outlier::{DomainHealth, Observation};
 
@@ -80,6 +81,7 @@
     waiting: Vec<Waiting>,
     tickets: u64,
     domain_health: DomainHealth,
+    reports: Reports,
     claims: Claims,
 }
 
@@ -96,6 +98,7 @@
             waiting: Vec::new(),
             tickets: 0,
             domain_health: DomainHealth::default(),
+            reports: Reports::default(),
             claims: Claims::default(),
         }
     }
@@ -129,6 +132,22 @@
             engine.health.record(observation, now);
             self.domain_health
                 .record(&engine.domain, identity, observation, now);
+            if observation == Observation::Succeeded {
+                self.reports.clear(identity);
+            } else {
+                self.record_report(identity, self.holder, now);
+            }
+        }
+    }
+
+    /// Records that a request of the host `holder`, which is in this host's failure domain, failed at an engine.
+    pub fn record_report(&mut self, identity: Identity, holder: u64, now: Instant) {
+        let engines = self.engines.len();
+        let Some(engine) = self.engines.get_mut(&identity) else {
+            return;
+        };
+        if self.reports.record(identity, holder, engines, now) {
+            engine.health.record_reported(now);
         }
     }
 
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -21,6 +21,7 @@
 
 use crate::adapter::{Location, Topic};
 use crate::clock::Clock;
+use crate::exchange::{Exchange, Sender};
 use crate::follow::PeerVersion;
 use crate::notice::Notices;
 use crate::placer::Placer;
@@ -44,24 +45,6 @@
 /// secret. The tag detects datagrams that were damaged, but not forged ones.
 const TAG_KEY: &[u8] = b"filbertstage";
 
-/// The host that sent an extension.
-#[derive(Clone, Copy, Debug)]
-pub struct Sender<'a> {
-    /// Name of the host.
-    pub host: &'a Host,
-    /// Incarnation of the host.
-    pub holder: u64,
-}
-
-/// A part of the system that exchanges extensions with its counterparts on the other hosts.
-pub trait Exchange: Send + Sync {
-    /// Applies an extension of another host. Extensions of other parts are ignored.
-    fn apply(&self, sender: Sender<'_>, extension: &Extension);
-
-    /// Returns what is sent with each snapshot, so that the loss of a datagram is repaired.
-    fn repeated(&self) -> Vec<Extension>;
-}
-
 /// The tables that the other hosts' reports change, beside placements.
 pub struct Tables {
     /// What endpoints announce about themselves.
@@ -268,7 +251,12 @@
                 updates.extend(self.tables.quarantine.take_updates());
                 let snapshot = self.snapshot.load(Ordering::Relaxed);
                 self.send_items(snapshot, Scope::Updates, updates).await;
-                let published = std::mem::take(&mut *self.published.lock());
+                let mut published = std::mem::take(&mut *self.published.lock());
+                let failures = self.placer.take_failures();
+                if !failures.is_empty() {
+                    let failures = failures.into_iter().map(|identity| identity.0);
+                    published.push(Extension::Failures(failures.collect()));
+                }
                 self.send_extensions(&published).await;
             }
         }
@@ -393,6 +381,11 @@
         }
     }
 
+    fn is_near(&self, host: &Host) -> bool {
+        let contacts = self.contacts.lock();
+        contacts.domain(host) == Some(&self.location.domain)
+    }
+
     fn handle_frame(&self, frame: &Placements, extensions: &[Extension], from: SocketAddr) {
         if frame.holder == self.holder {
             return;
@@ -440,6 +433,7 @@
         let sender = Sender {
             host: &host,
             holder: frame.holder,
+            is_near: self.is_near(&host),
         };
         for extension in extensions {
             for exchange in &self.tables.exchanges {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 mod clock;
 mod evidence;
+mod exchange;
 mod fingerprint;
 mod follow;
 mod headers;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -13,9 +13,11 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::sleep;
+use wire::extension::Extension;
 use wire::placement::{Item, Part, Placements, Scope};
 
 use crate::clock::Clock;
+use crate::exchange::{Exchange, Sender};
 use crate::observe;
 use crate::registry::Registry;
 
@@ -39,6 +41,8 @@
     holder: u64,
     queues: Mutex<HashMap<Service, Queue>>,
     updates: Mutex<Vec<Item>>,
+    /// Engines at which requests of this host have failed since the last frame.
+    failures: Mutex<Vec<Identity>>,
     /// Endpoints that announced to this host that they leave, and until when snapshots repeat it.
     leaving: Mutex<Vec<(Identity, Instant)>>,
     /// By holder: number of the arriving snapshot, and number of its frames that have arrived.
@@ -109,6 +113,7 @@
             holder,
             queues: Mutex::default(),
             updates: Mutex::default(),
+            failures: Mutex::default(),
             leaving: Mutex::default(),
             snapshots: Mutex::default(),
             updated: Notify::new(),
@@ -304,6 +309,15 @@
         if let Some(queue) = self.queues.lock().get_mut(service) {
             queue.pool.record(engine, observation, now);
         }
+        if observation != Observation::Succeeded {
+            self.failures.lock().push(engine);
+            self.updated.notify_one();
+        }
+    }
+
+    /// Returns the engines at which requests of this host have failed since the last call.
+    pub fn take_failures(&self) -> Vec<Identity> {
+        std::mem::take(&mut *self.failures.lock())
     }
 
     fn finish_prefill(&self, service: &Service, id: LoadId) {
@@ -455,6 +469,17 @@
         }
     }
 
+    /// Records failures at engines that a host of the same failure domain reports.
+    fn apply_failures(&self, holder: u64, engines: &[u64]) {
+        let now = self.clock.now();
+        let mut queues = self.queues.lock();
+        for queue in queues.values_mut() {
+            for engine in engines {
+                queue.pool.record_report(Identity(*engine), holder, now);
+            }
+        }
+    }
+
     /// Drops the placements of a host that is gone or has restarted.
     pub fn drop_holder(&self, holder: u64) {
         self.snapshots.lock().remove(&holder);
@@ -474,6 +499,20 @@
     }
 }
 
+impl Exchange for Placer {
+    fn apply(&self, sender: Sender<'_>, extension: &Extension) {
+        if let Extension::Failures(engines) = extension
+            && sender.is_near
+        {
+            self.apply_failures(sender.holder, engines);
+        }
+    }
+
+    fn repeated(&self) -> Vec<Extension> {
+        Vec::new()
+    }
+}
+
 fn to_part(id: LoadId, engine: Identity, load: &Load, now: Instant) -> Part {
     let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     Part {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::clock::Clock;
+use crate::exchange::Exchange;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::{Hosts, Tables};
 use crate::notice::Notices;
@@ -114,7 +115,7 @@
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
-            exchanges: Vec::new(),
+            exchanges: vec![Arc::clone(&placer) as Arc<dyn Exchange>],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
