Learn the paths to other failure domains instead of a constant price

A constant price ignores lost packets, which make short streams late. Paths estimates round trip, opening time and share of late events for each domain from the host's own traffic, with published delays as prior where noticeable.

--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -1,6 +1,7 @@
 //! Balances requests over the endpoints of a plain service, which has no engines.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalogue::{Entry, Identity};
@@ -8,8 +9,10 @@
 use crate::name::Domain;
 use crate::outlier::{Health, Observation};
 use crate::pace::{Pacer, Rate};
+use crate::place::path::Paths;
 
-/// Load penalty of an endpoint in another failure domain, in running requests.
+/// Load penalty of an endpoint in another failure domain without samples of its path, in running
+/// requests.
 const REMOTE_DOMAIN_REQUESTS: f64 = 0.25;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -23,9 +26,15 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     endpoints: HashMap<Identity, Stats>,
+    paths: Option<Arc<Paths>>,
 }
 
 impl Balancer {
+    /// Replaces the estimates of the paths to the endpoints.
+    pub fn set_paths(&mut self, paths: Arc<Paths>) {
+        self.paths = Some(paths);
+    }
+
     /// Returns the endpoint with the fewest running requests per slot, preferring those in
     /// `domain`. An endpoint that names a limit is only used if all others are full.
     ///
@@ -60,7 +69,7 @@
         };
         candidates
             .into_iter()
-            .map(|entry| (self.load(entry, domain), entry))
+            .map(|entry| (self.load(entry, domain, now), entry))
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, entry)| entry)
     }
@@ -70,12 +79,11 @@
         stats.map_or(0, |stats| stats.running)
     }
 
-    fn load(&self, entry: &Entry, domain: &Domain) -> f64 {
-        let penalty = if entry.domain == *domain {
-            0.0
-        } else {
-            REMOTE_DOMAIN_REQUESTS
-        };
+    fn load(&self, entry: &Entry, domain: &Domain, now: Instant) -> f64 {
+        let constant = f64::from(u8::from(entry.domain != *domain));
+        let paths = self.paths.as_ref();
+        let relative = paths.map(|paths| paths.relative_call_price(&entry.domain, now));
+        let penalty = relative.unwrap_or(constant) * REMOTE_DOMAIN_REQUESTS;
         (f64::from(self.running(entry)) + penalty) / f64::from(entry.slots.max(1))
     }
 
--- a/crates/kernel/src/catalogue/configuration.rs
+++ b/crates/kernel/src/catalogue/configuration.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::name::{Region, Service, Workspace};
+use crate::name::{Domain, Region, Service, Workspace};
 use crate::pace::Rate;
 
 /// How often the requests of a route may be executed.
@@ -113,6 +113,19 @@
     pub chunk: u32,
     /// Cost per step if parts of the KV cache are on other engines, in milliseconds.
     pub hop_ms: f64,
+    /// One-way delays between failure domains.
+    pub delays: Vec<Delay>,
+}
+
+/// Published one-way delay between two failure domains.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Delay {
+    /// Domain of the sender.
+    pub from: Domain,
+    /// Domain of the receiver.
+    pub to: Domain,
+    /// Delay in milliseconds.
+    pub delay_ms: f64,
 }
 
 impl Profile {
--- a/crates/kernel/src/catalogue/mod.rs
+++ b/crates/kernel/src/catalogue/mod.rs
@@ -8,8 +8,8 @@
 mod directory;
 
 pub use configuration::{
-    Allowed, Cold, Configuration, Denied, Kind, Limits, Profile, Route, ServiceEntry, Target,
-    Tenant,
+    Allowed, Cold, Configuration, Delay, Denied, Kind, Limits, Profile, Route, ServiceEntry,
+    Target, Tenant,
 };
 pub use directory::{Directory, Entry, Identity, State};
 
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -7,6 +7,7 @@
 
 mod claim;
 mod engine;
+pub mod path;
 mod plan;
 mod pool;
 mod speed;
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use super::engine::{Engine, Load};
+use super::path::{Paths, Price, Stream};
 use super::speed::{Speed, as_f64, duration_from_ms};
 use crate::catalogue::Identity;
 use crate::clock::Instant;
-use crate::name::Domain;
 
 /// Maximum number of engines that prefill one prompt: the primary engine and the helpers that it
 /// accepts.
@@ -46,8 +46,6 @@
 /// Cost of placing a latency-tolerant stream or its prefill on an engine with latency-sensitive
 /// streams, or a latency-sensitive stream on an engine with only latency-tolerant ones.
 const MIXING_MS: f64 = 400.0;
-/// Cost of an engine in another failure domain: traffic to it is billed and has a longer path.
-const REMOTE_DOMAIN_MS: f64 = 15.0;
 /// Cost of an engine that names a limit: it is used if no other engine has room.
 const LIMITED_MS: f64 = 1_000.0;
 /// Weight of the fill order for latency-tolerant streams, which fill the engines in reverse order.
@@ -94,15 +92,17 @@
     pub helpers: Vec<Part>,
     /// Predicted time to the first event.
     pub first_event: Duration,
+    /// Predicted time between two events.
+    pub pass: Duration,
     /// Loads that the plan adds, with their engines.
     pub loads: Vec<(Identity, Load)>,
 }
 
-/// Engines of a service and their common speed, as seen from one failure domain.
+/// Engines of a service, their common speed, and the paths from this host to them.
 pub(super) struct View<'a> {
     pub engines: Vec<&'a Engine>,
     pub speed: &'a Speed,
-    pub domain: &'a Domain,
+    pub paths: &'a Paths,
     pub now: Instant,
 }
 
@@ -131,6 +131,7 @@
     helper_backlog_ms: f64,
     pass_ms: f64,
     shortest_pause: Option<Duration>,
+    path: Price,
 }
 
 struct Candidate<'a> {
@@ -139,6 +140,8 @@
     primary_ms: f64,
     /// Milliseconds until the part would be prefilled with this engine as helper.
     helper_ms: f64,
+    /// Milliseconds by which the path delays the first event.
+    path_ms: f64,
     cost: f64,
 }
 
@@ -158,7 +161,7 @@
             .engines
             .iter()
             .filter(|engine| !request.excluded.contains(&engine.identity))
-            .map(|engine| self.estimate(engine))
+            .map(|engine| self.estimate(engine, request))
             .collect();
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -185,13 +188,20 @@
         best.map(|(_, plan)| plan)
     }
 
-    fn estimate<'a>(&self, engine: &'a Engine) -> Estimate<'a> {
+    fn estimate<'a>(&self, engine: &'a Engine, request: &Request) -> Estimate<'a> {
+        let pass_ms = engine.pass_ms(self.speed, 0);
+        let stream = Stream {
+            events: as_f64(self.events(request)),
+            pause: request.pause,
+            pass_ms,
+        };
         Estimate {
             engine,
             backlog_ms: engine.backlog_ms(self.now),
             helper_backlog_ms: engine.helper_backlog_ms(self.now),
-            pass_ms: engine.pass_ms(self.speed, 0),
+            pass_ms,
             shortest_pause: engine.shortest_pause(),
+            path: self.paths.price(&engine.domain, &stream, self.now),
         }
     }
 
@@ -263,14 +273,13 @@
         };
         let primary_ms = backlog + pass_wait + part_ms;
         let mut cost = if request.pause <= SENSITIVE_PAUSE {
-            sensitive_cost(engine, primary_ms + pass, has_sensitive)
+            let event_ms = primary_ms + pass + estimate.path.delay_ms;
+            sensitive_cost(engine, event_ms, has_sensitive)
         } else {
             let mixing = if has_sensitive { MIXING_MS } else { 0.0 };
             backlog + pass + mixing + (1.0 - engine.fill_order) * TOLERANT_FILL_ORDER_MS
         };
-        if engine.domain != *self.domain {
-            cost += REMOTE_DOMAIN_MS;
-        }
+        cost += estimate.path.cost_ms;
         if engine.pacer.limit().is_some() {
             cost += LIMITED_MS;
         }
@@ -278,6 +287,7 @@
             engine,
             primary_ms,
             helper_ms: estimate.helper_backlog_ms + pass_wait + part_ms,
+            path_ms: estimate.path.delay_ms,
             cost,
         })
     }
@@ -328,8 +338,7 @@
         );
         let slowest = helpers.iter().map(|helper| helper.helper_ms);
         let prefill_ms = slowest.fold(primary.primary_ms, f64::max);
-        let stride = u64::from(self.speed.profile().stride.max(1));
-        let passes = as_f64(request.answer_tokens.div_ceil(stride));
+        let passes = as_f64(self.events(request));
         let ends_by = self.after(prefill_ms + passes * pass);
         let prefill_time = duration_from_ms(part_ms);
         let mut loads = vec![(
@@ -367,11 +376,18 @@
         Plan {
             primary: primary.engine.identity,
             helpers: parts,
-            first_event: duration_from_ms(prefill_ms + pass),
+            first_event: duration_from_ms(prefill_ms + pass + primary.path_ms),
+            pass: duration_from_ms(pass),
             loads,
         }
     }
 
+    /// Returns the number of events of an answer, one for each pass.
+    fn events(&self, request: &Request) -> u64 {
+        let stride = u64::from(self.speed.profile().stride.max(1));
+        request.answer_tokens.div_ceil(stride)
+    }
+
     fn after(&self, millis: f64) -> Instant {
         self.now + duration_from_ms(millis)
     }
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -1,15 +1,17 @@
 //! Manages the engines of one service, their loads and the queue of waiting requests.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::claim::Claims;
 use super::engine::{Engine, Load, LoadId};
+use super::path::Paths;
 use super::plan::{Plan, Request, View, fits_in_memory, min_engines};
 use super::speed::{Speed, duration_from_ms};
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
-use crate::name::Domain;
+use crate::name::{Domain, Host};
 use crate::outlier::{DomainHealth, Observation};
 
 /// Time after its predicted end at which a load of another host is dropped unless it is renewed.
@@ -73,7 +75,7 @@
 #[derive(Debug)]
 pub struct Pool {
     speed: Speed,
-    domain: Domain,
+    paths: Arc<Paths>,
     holder: u64,
     sequence: u32,
     pub(super) engines: HashMap<Identity, Engine>,
@@ -89,7 +91,7 @@
     pub fn new(speed: Speed, domain: Domain, holder: u64) -> Self {
         Self {
             speed,
-            domain,
+            paths: Arc::new(Paths::new(domain, &Host::from(""))),
             holder,
             sequence: 0,
             engines: HashMap::new(),
@@ -105,6 +107,11 @@
         self.speed = speed;
     }
 
+    /// Replaces the estimates of the paths to the engines.
+    pub fn set_paths(&mut self, paths: Arc<Paths>) {
+        self.paths = paths;
+    }
+
     /// Returns the current performance model.
     #[must_use]
     pub const fn speed(&self) -> &Speed {
@@ -291,7 +298,7 @@
         let view = View {
             engines,
             speed: &self.speed,
-            domain: &self.domain,
+            paths: &self.paths,
             now,
         };
         let plan = view.plan(request, waited);
--- a/crates/kernel/tests/fuzz.rs
+++ b/crates/kernel/tests/fuzz.rs
@@ -59,6 +59,7 @@
         pairs_ms: figures.4,
         chunk: counts.3,
         hop_ms: figures.5,
+        delays: Vec::new(),
     })
 }
 
--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -28,6 +28,7 @@
         pairs_ms: 0.0917,
         chunk: 2_048,
         hop_ms: 0.1,
+        delays: Vec::new(),
     }
 }
 
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -5,6 +5,8 @@
 use http::StatusCode;
 use kernel::catalogue::Kind;
 use kernel::cost::Band;
+use kernel::name::Domain;
+use kernel::place::path::Estimate;
 
 /// Counts a request whose response has the status `status`.
 pub(crate) fn count_request(kind: Option<Kind>, status: StatusCode) {
@@ -86,6 +88,36 @@
     metrics::counter!("filbertstage_reservations_total", "outcome" => outcome).increment(1);
 }
 
+/// Sets the gauges of the path to a failure domain.
+pub(crate) fn set_path(domain: &Domain, estimate: &Estimate) {
+    let set = |name: &'static str, value: f64| {
+        metrics::gauge!(name, "domain" => domain.to_string()).set(value);
+    };
+    set("filbertstage_path_extra_seconds", estimate.extra_ms / 1e3);
+    set("filbertstage_path_spread_seconds", estimate.spread_ms / 1e3);
+    set(
+        "filbertstage_path_opening_seconds",
+        estimate.opening_ms / 1e3,
+    );
+    set("filbertstage_path_late_ratio", estimate.late);
+}
+
+/// Counts a stream of which an event arrived late, by the failure domain of its engine.
+pub(crate) fn count_late_stream(domain: &Domain) {
+    metrics::counter!("filbertstage_path_late_streams_total", "domain" => domain.to_string())
+        .increment(1);
+}
+
+/// Counts an attempt to open a connection.
+pub(crate) fn count_opening(outcome: &'static str) {
+    metrics::counter!("filbertstage_openings_total", "outcome" => outcome).increment(1);
+}
+
+/// Records the time in which a connection was opened.
+pub(crate) fn record_opening(time: Duration) {
+    metrics::histogram!("filbertstage_opening_seconds").record(time.as_secs_f64());
+}
+
 /// Sets the gauge `name`.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) fn set_gauge(name: &'static str, value: u64) {
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -25,6 +25,7 @@
 use crate::fingerprint::Hasher;
 use crate::headers::{encoded_len, end_to_end, error_response};
 use crate::notice::Notices;
+use crate::path::Paths;
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
@@ -44,6 +45,8 @@
     pub registry: Arc<Registry>,
     /// Places streams on engines.
     pub placer: Arc<Placer>,
+    /// Estimates of the paths to the endpoints.
+    pub paths: Arc<Paths>,
     /// Balances calls over the endpoints of plain services.
     pub balancer: Arc<Mutex<Balancer>>,
     /// Applies what endpoints announce about themselves.
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::observe;
+use crate::path::Paths;
 use crate::registry::Registry;
 
 /// Time within which another host's claim on the same engines arrives: its batch window, the
@@ -36,6 +37,7 @@
 pub struct Placer {
     clock: Clock,
     domain: Domain,
+    paths: Arc<Paths>,
     holder: u64,
     queues: Mutex<HashMap<Service, Queue>>,
     updates: Mutex<Vec<Item>>,
@@ -102,10 +104,11 @@
 impl Placer {
     /// Creates a placer without engines. `holder` is the incarnation of this host.
     #[must_use]
-    pub fn new(clock: Clock, domain: Domain, holder: u64) -> Self {
+    pub fn new(clock: Clock, domain: Domain, paths: Arc<Paths>, holder: u64) -> Self {
         Self {
             clock,
             domain,
+            paths,
             holder,
             queues: Mutex::default(),
             updates: Mutex::default(),
@@ -204,6 +207,7 @@
         let now = self.clock.now();
         let mut queues = self.queues.lock();
         for queue in queues.values_mut() {
+            queue.pool.set_paths(self.paths.current());
             Self::assign(queue, now);
         }
     }
@@ -211,6 +215,7 @@
     fn assign_service(&self, service: &Service) {
         let now = self.clock.now();
         if let Some(queue) = self.queues.lock().get_mut(service) {
+            queue.pool.set_paths(self.paths.current());
             Self::assign(queue, now);
         }
     }
@@ -230,6 +235,9 @@
 
     /// Replaces the services. Services that remain keep their pool and waiting requests.
     pub fn set_services<'a>(&self, profiles: impl Iterator<Item = (&'a Service, &'a Profile)>) {
+        let profiles: Vec<_> = profiles.collect();
+        let delays = profiles.iter().flat_map(|(_, profile)| &profile.delays);
+        self.paths.set_delays(delays);
         let mut queues = self.queues.lock();
         let mut previous = std::mem::take(&mut *queues);
         for (service, profile) in profiles {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -151,7 +151,8 @@
     attempts: &Attempts,
 ) -> Result<Entry, GiveUp> {
     let ready = pipeline.registry.ready(&accepted.service);
-    let balancer = pipeline.balancer.lock();
+    let mut balancer = pipeline.balancer.lock();
+    balancer.set_paths(pipeline.paths.current());
     let now = pipeline.clock.now();
     let picked = balancer.pick(ready.iter(), attempts.excluded(), &pipeline.domain, now);
     picked.cloned().ok_or_else(|| {
@@ -184,6 +185,7 @@
     };
     let exchange = async {
         let exchange = pipeline.dialer.send(entry.address, request).await?;
+        pipeline.paths.record_exchange(&entry.domain, &exchange);
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
         pipeline.handle_notice(entry, head, sent_at);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::hosts::{Hosts, Tables};
 use crate::notice::Notices;
 use crate::observe;
+use crate::path::Paths;
 use crate::pipeline::Pipeline;
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
@@ -96,11 +97,13 @@
         let holder = rng.next_u64();
         let domain = Domain::from(settings.domain.as_str());
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
-        let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
+        let own = Host::from(settings.host.as_str());
+        let paths = Arc::new(Paths::new(clock, domain.clone(), &own));
+        let placer = Placer::new(clock, domain.clone(), Arc::clone(&paths), holder);
+        let placer = Arc::new(placer);
         let balancer = Arc::new(Mutex::new(Balancer::default()));
         let notices = Notices::new(&registry, &placer, &balancer, clock);
         let notices = Arc::new(notices);
-        let own = Host::from(settings.host.as_str());
         let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
         let location = Location {
@@ -120,6 +123,7 @@
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
+            paths,
             balancer,
             notices,
             quarantine: Arc::clone(&quarantine),
@@ -318,6 +322,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         pipeline.dialer.close_expired(std::time::Instant::now());
+        pipeline.paths.publish();
         telemetry::metrics::run_upkeep();
         let identities: Vec<_> = pipeline.registry.with_directory(|directory| {
             let entries = directory.entries();
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -1,6 +1,7 @@
 //! Relays the events of an engine's stream, and goes on at another engine where the route allows
 //! it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use crate::body::Error;
 use crate::broken;
 use crate::observe;
+use crate::path::Watch;
 use crate::transport::{Exchange, Reachability};
 
 /// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
@@ -233,6 +235,7 @@
         wait_until_deadline: bool,
     ) -> End {
         let mut started = false;
+        let mut watch = self.watch(upstream);
         let mut last_event = self.pipeline.clock.now();
         // Since when the engine owes an event. Waiting for a slow client does not count.
         let mut waiting_since = last_event;
@@ -274,8 +277,12 @@
                 self.log_pause(upstream, now.since(last_event));
             }
             last_event = now;
-            if !started {
+            if started {
+                watch.record_event(now.since(waiting_since));
+            } else {
                 started = true;
+                let predicted = upstream.placement.plan.first_event;
+                watch.record_first(now.since(upstream.sent_at), predicted);
                 upstream.placement.finish_prefill();
                 self.log_first_event(upstream.placement.plan.first_event);
             }
@@ -286,6 +293,17 @@
         }
     }
 
+    fn watch(&self, upstream: &Upstream) -> Watch {
+        let paths = Arc::clone(&self.pipeline.paths);
+        let pass = upstream.placement.plan.pass;
+        Watch::new(
+            paths,
+            upstream.engine.domain.clone(),
+            pass,
+            self.max_pause(),
+        )
+    }
+
     fn log_first_event(&self, predicted: Duration) {
         observe::record_first_event(self.prompt_tokens, self.elapsed(), predicted);
         log::info!(
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -43,6 +43,8 @@
     exchange: Exchange,
     placement: Placement,
     engine: Entry,
+    /// Time at which the request was sent.
+    sent_at: Instant,
     /// Time at which the head of the response arrived: the engine has begun the answer.
     began: Instant,
     /// Number of events that earlier engines delivered.
@@ -250,7 +252,10 @@
             Ok(Ok(exchange)) => {
                 self.pipeline
                     .handle_notice(&engine, &exchange.head, sent_at);
-                self.check_head(exchange, placement, engine, reservations)
+                self.pipeline
+                    .paths
+                    .record_exchange(&engine.domain, &exchange);
+                self.check_head(exchange, placement, engine, reservations, sent_at)
                     .await
             }
             Ok(Err(Failure::Unsent(reason))) => {
@@ -290,6 +295,7 @@
         placement: Placement,
         engine: Entry,
         reservations: Reservations,
+        sent_at: Instant,
     ) -> Result<Upstream, Option<(response::Parts, Bytes)>> {
         let id = self.accepted.metadata.id.as_deref();
         let head = &exchange.head;
@@ -325,6 +331,7 @@
             exchange,
             placement,
             engine,
+            sent_at,
             began: self.pipeline.clock.now(),
             events_before: 0,
             _reservations: reservations,
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -21,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::observe;
+
 /// Timeout for opening a connection. TCP retransmits a lost SYN packet only after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a connection that only tests whether the peer accepts any.
@@ -137,6 +139,7 @@
     pub head: response::Parts,
     body: Incoming,
     connection: Connection,
+    opening: Option<Duration>,
 }
 
 impl Dialer {
@@ -158,9 +161,22 @@
                 Err((None, reason)) => return Err(Failure::Uncertain(reason)),
             }
         }
-        let connection = self.open(address).await?;
+        let started = Instant::now();
+        let opened = self.open(address).await;
+        let opening = started.elapsed();
+        observe::count_opening(match &opened {
+            Ok(_) => "opened",
+            Err(Failure::Refused(_)) => "refused",
+            Err(_) => "failed",
+        });
+        let connection = opened?;
+        observe::record_opening(opening);
         send_on(connection, request)
             .await
+            .map(|exchange| Exchange {
+                opening: Some(opening),
+                ..exchange
+            })
             .map_err(|(unsent, reason)| match unsent {
                 Some(_) => Failure::Unsent(reason),
                 None => Failure::Uncertain(reason),
@@ -304,6 +320,7 @@
                 head,
                 body: incoming,
                 connection,
+                opening: None,
             })
         }
         Err(mut error) => {
@@ -351,6 +368,13 @@
         Ok((head, whole.freeze()))
     }
 
+    /// Returns the time in which a connection was opened for the exchange; `None` if an idle one
+    /// was used.
+    #[must_use]
+    pub const fn opening(&self) -> Option<Duration> {
+        self.opening
+    }
+
     /// Whether the body has a length or comes in chunks. If not, it ends with the connection.
     #[must_use]
     pub fn is_framed(&self) -> bool {
