--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -6,6 +6,7 @@
 
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
+use crate::cold::Phase;
 use crate::name::Domain;
 use crate::outlier::{Health, Observation};
 use crate::pace::{Pacer, Rate};
@@ -15,6 +16,9 @@
 /// requests.
 const REMOTE_DOMAIN_REQUESTS: f64 = 0.25;
 
+/// Load penalty of a cold endpoint, in running requests: warm ones come first while they have room.
+const COLD_REQUESTS: f64 = 2.0;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Stats {
     running: u32,
@@ -83,7 +87,10 @@
         let constant = f64::from(u8::from(entry.domain != *domain));
         let paths = self.paths.as_ref();
         let relative = paths.map(|paths| paths.relative_call_price(&entry.domain, now));
-        let penalty = relative.unwrap_or(constant) * REMOTE_DOMAIN_REQUESTS;
+        let mut penalty = relative.unwrap_or(constant) * REMOTE_DOMAIN_REQUESTS;
+        if self.is_cold(entry.identity(), now) {
+            penalty += COLD_REQUESTS;
+        }
         (f64::from(self.running(entry)) + penalty) / f64::from(entry.slots.max(1))
     }
 
@@ -94,12 +101,35 @@
     }
 
     /// Returns whether an endpoint names a limit.
-    #[must_use]
-    pub fn is_limited(&self, identity: Identity) -> bool {
+    fn is_limited(&self, identity: Identity) -> bool {
         let stats = self.endpoints.get(&identity);
         stats.is_some_and(|stats| stats.pacer.limit().is_some())
     }
 
+    /// Returns whether an endpoint is cold.
+    #[must_use]
+    pub fn is_cold(&self, identity: Identity, now: Instant) -> bool {
+        let stats = self.endpoints.get(&identity);
+        stats.is_some_and(|stats| stats.pacer.is_cold(now))
+    }
+
+    /// Returns whether an endpoint names a limit or is cold.
+    #[must_use]
+    pub fn is_paced(&self, identity: Identity, now: Instant) -> bool {
+        let stats = self.endpoints.get(&identity);
+        stats.is_some_and(|stats| stats.pacer.rate(now).is_some())
+    }
+
+    /// Sets which endpoints are cold.
+    pub fn set_cold(&mut self, cold: &HashMap<Identity, Phase>, now: Instant) {
+        for identity in cold.keys() {
+            self.endpoints.entry(*identity).or_default();
+        }
+        for (identity, stats) in &mut self.endpoints {
+            stats.pacer.set_cold(cold.get(identity).copied(), now);
+        }
+    }
+
     /// Returns the time until an endpoint accepts a request from this host.
     fn wait(&self, identity: Identity, now: Instant) -> Duration {
         let stats = self.endpoints.get(&identity);
@@ -126,7 +156,7 @@
             let identity = entry.identity();
             let wait = self.wait(identity, now);
             let stats = self.endpoints.get(&identity)?;
-            let interval = stats.pacer.limit().map(Rate::interval);
+            let interval = stats.pacer.rate(now).map(Rate::interval);
             (!wait.is_zero()).then_some((wait, interval.unwrap_or_default()))
         });
         let (wait, interval) = waits.min()?;
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -11,6 +11,7 @@
 use super::speed::{Speed, duration_from_ms};
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
+use crate::cold::Slowness;
 use crate::failure::Reports;
 use crate::name::{Domain, Host};
 use crate::outlier::{DomainHealth, Observation};
@@ -85,6 +86,7 @@
     domain_health: DomainHealth,
     reports: Reports,
     claims: Claims,
+    pub(super) slowness: Slowness,
 }
 
 impl Pool {
@@ -102,6 +104,7 @@
             domain_health: DomainHealth::default(),
             reports: Reports::default(),
             claims: Claims::default(),
+            slowness: Slowness::default(),
         }
     }
 
@@ -251,8 +254,8 @@
             if let Some(plan) = self.plan(&queued.request, now.since(queued.submitted), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                // A turn at a limited engine is a last slot.
-                let slots_left = if self.is_limited(plan.primary) {
+                // A turn at a paced engine is a last slot.
+                let slots_left = if self.is_paced(plan.primary, now) {
                     0
                 } else {
                     self.slots_left(plan.primary)
@@ -277,7 +280,8 @@
             .saturating_sub(now.since(queued.submitted));
         if let Some(turn) = self.next_turn(&queued.request, round.ahead, now) {
             if turn > wait_left {
-                return Some(Decision::Refuse(turn));
+                let spread = self.turn_spread(queued.ticket, self.holder, now);
+                return Some(Decision::Refuse(turn + spread));
             }
             round.ahead += 1;
         }
@@ -318,6 +322,7 @@
             engines,
             speed: &self.speed,
             paths: &self.paths,
+            slowness: self.slowness.factor(now),
             now,
         };
         let plan = view.plan(request, waited);
@@ -345,14 +350,21 @@
     }
 
     /// Closes the claim on a plan with the engine `primary` and returns whether its request may
-    /// run. If the claim is lost, its loads are removed. If the engine is limited, the request
-    /// takes the turn.
+    /// run. If the claim is lost, its loads are removed. The request takes the turn at each of its
+    /// engines that is limited or cold.
     pub fn settle(&mut self, id: LoadId, primary: Identity, now: Instant) -> bool {
-        let engine = self.engines.get(&primary);
-        let in_turn = engine.is_none_or(|engine| engine.pacer.is_free(now));
+        let mut turns = self.paced_engines(id, now);
+        turns.retain(|engine| *engine != primary);
+        turns.push(primary);
+        let in_turn = turns.iter().all(|engine| {
+            let engine = self.engines.get(engine);
+            engine.is_none_or(|engine| engine.pacer.is_free(now))
+        });
         let holds = self.claims.settle(id) && in_turn;
         if holds {
-            self.record_request(primary, now);
+            for engine in turns {
+                self.record_request(engine, now);
+            }
         } else {
             self.release(id);
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::clock::Clock;
+use crate::cold;
 use crate::exchange::Exchange;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::{Hosts, Tables};
@@ -113,12 +114,17 @@
         };
         let synced = settings.start() == Start::First;
         let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
+        let cold = cold::Tracker::new(&registry, &placer, &balancer, &fleet, clock, holder);
+        let cold = Arc::new(cold);
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
-            exchanges: vec![Arc::clone(&placer) as Arc<dyn Exchange>],
+            exchanges: vec![
+                Arc::clone(&placer) as Arc<dyn Exchange>,
+                Arc::<cold::Tracker>::clone(&cold),
+            ],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
@@ -141,6 +147,7 @@
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
             hosts: Arc::clone(&hosts),
+            cold: Arc::clone(&cold),
             clock,
             apply_limit: Duration::from_millis(settings.times.apply_ms),
             drain_limit: Duration::from_millis(settings.times.drain_ms),
@@ -155,6 +162,7 @@
         tasks.spawn(Arc::clone(&follower).follow_configurations());
         tasks.spawn(Arc::clone(&follower).follow_endpoints());
         tasks.spawn(follower.follow_hosts());
+        tasks.spawn(cold.refresh_periodically());
         tasks.spawn(Arc::clone(&hosts).send());
         tasks.spawn(hosts.receive());
         tasks.spawn(assign_periodically(placer));
--- a/crates/wire/src/extension.rs
+++ b/crates/wire/src/extension.rs
@@ -18,6 +18,8 @@
     Reaches(bool),
     /// Identities of endpoints at which requests of the sender have just failed.
     Failures(Vec<u64>),
+    /// Digest of the set of hosts that the sender hears, itself included.
+    Hears(u64),
 }
 
 /// The evacuated failure domains, as read from the store.
@@ -54,6 +56,7 @@
     pub const COLD: u16 = 2;
     pub const REACHES: u16 = 3;
     pub const FAILURES: u16 = 4;
+    pub const HEARS: u16 = 6;
 }
 
 impl Extension {
@@ -63,6 +66,7 @@
             Self::Cold(content) => (kind::COLD, postcard::to_stdvec(content)),
             Self::Reaches(content) => (kind::REACHES, postcard::to_stdvec(content)),
             Self::Failures(content) => (kind::FAILURES, postcard::to_stdvec(content)),
+            Self::Hears(content) => (kind::HEARS, postcard::to_stdvec(content)),
         };
         let body = body.ok()?;
         Some(Section { kind, body })
@@ -75,6 +79,7 @@
             kind::COLD => read(body).map(Self::Cold),
             kind::REACHES => read(body).map(Self::Reaches),
             kind::FAILURES => read(body).map(Self::Failures),
+            kind::HEARS => read(body).map(Self::Hears),
             _ => None,
         }
     }
