Send nothing new to the endpoints of evacuated failure domains

An operator evacuates a failure domain with a record in the configuration's topic. The hosts did not read it and went on sending there.

Each host keeps the newest view by era and position. It reads the records with the configurations and tells the other hosts its view, so that hosts which the store refuses learn of it. The registry returns no endpoint of an evacuated domain, and the dialer asks once more when it has a connection. Engines of the domain stay in their pools with their running loads. If all endpoints of a service are evacuated, requests are refused at once.

--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -1,6 +1,6 @@
 //! Manages the engines of one service, their loads and the queue of waiting requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::claim::Claims;
@@ -77,6 +77,8 @@
     holder: u64,
     sequence: u32,
     pub(super) engines: HashMap<Identity, Engine>,
+    /// Failure domains whose engines get nothing new. Their running loads stay.
+    evacuated: BTreeSet<Domain>,
     waiting: Vec<Waiting>,
     tickets: u64,
     domain_health: DomainHealth,
@@ -93,6 +95,7 @@
             holder,
             sequence: 0,
             engines: HashMap::new(),
+            evacuated: BTreeSet::new(),
             waiting: Vec::new(),
             tickets: 0,
             domain_health: DomainHealth::default(),
@@ -123,6 +126,17 @@
         }
     }
 
+    /// Replaces the failure domains whose engines get nothing new.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<Domain>) {
+        self.evacuated = domains;
+    }
+
+    /// Returns the engines that may get requests.
+    pub(super) fn open_engines(&self) -> impl Iterator<Item = &Engine> {
+        let engines = self.engines.values();
+        engines.filter(|engine| !self.evacuated.contains(&engine.domain))
+    }
+
     /// Records the result of a request for outlier detection.
     pub fn record(&mut self, identity: Identity, observation: Observation, now: Instant) {
         if let Some(engine) = self.engines.get_mut(&identity) {
@@ -214,7 +228,10 @@
 
     /// Decides on one request; returns `None` if it keeps waiting.
     fn decide(&mut self, queued: &Waiting, round: &mut Round, now: Instant) -> Option<Decision> {
-        let engines = self.engines.len();
+        let engines = self.open_engines().count();
+        if engines == 0 && !self.engines.is_empty() {
+            return Some(Decision::Refuse(self.retry_after(queued, now)));
+        }
         if engines > 0 && !fits_in_memory(&self.speed, engines, &queued.request) {
             return Some(Decision::Refuse(MAX_RETRY_AFTER));
         }
@@ -262,8 +279,7 @@
 
     fn plan(&self, request: &Request, waited: Duration, now: Instant) -> Option<Plan> {
         let accepting: Vec<_> = self
-            .engines
-            .values()
+            .open_engines()
             .filter(|engine| engine.wait(now).is_zero())
             .collect();
         let reachable: Vec<_> = accepting
@@ -427,8 +443,7 @@
     fn retry_after(&self, queued: &Waiting, now: Instant) -> Duration {
         let needed = min_engines(self.speed.prefill_ms(queued.request.prompt_tokens));
         let mut free: Vec<_> = self
-            .engines
-            .values()
+            .open_engines()
             .map(|engine| engine.free_at(now).since(now).max(engine.wait(now)))
             .collect();
         free.sort();
--- a/crates/kernel/src/place/turns.rs
+++ b/crates/kernel/src/place/turns.rs
@@ -20,7 +20,7 @@
     ) -> Option<Duration> {
         let mut shortest: Option<Duration> = None;
         let mut turns_per_second = 0.0;
-        for engine in self.engines.values() {
+        for engine in self.open_engines() {
             let excluded = request.excluded.contains(&engine.identity);
             let wait = engine.wait(now);
             if wait.is_zero() {
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use http::{HeaderMap, StatusCode};
 use kernel::catalogue::{Configuration, Entry};
+use kernel::evacuation::Change;
 use kernel::fleet::Announcement;
 use kernel::name::{Domain, Endpoint, Workspace};
 use kernel::pace::Limit;
@@ -154,6 +155,8 @@
 pub enum Record {
     /// A published configuration.
     Configuration(Box<Configuration>),
+    /// A failure domain is evacuated, or its evacuation has ended.
+    Evacuation(Change),
     /// An endpoint's entry.
     Endpoint(Entry),
     /// The removal of an endpoint's entry.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -20,6 +20,9 @@
     Refused(Duration),
     /// The request or a segment of its prompt is quarantined; the client may retry after this time.
     Quarantined(Duration),
+    /// All endpoints of the service are in evacuated failure domains; the client may retry after this
+    /// time.
+    Evacuated(Duration),
     /// The deadline of the request has passed.
     Expired,
     /// No further attempt is allowed, or no endpoint is left to try.
@@ -35,6 +38,7 @@
             Self::Quarantined(_) => {
                 "endpoints crashed on this request or a part of this prompt: change it, or come back later"
             }
+            Self::Evacuated(_) => "all endpoints of the service are evacuated: come back later",
             Self::Expired => "the request's time has passed",
             Self::Exhausted => "every allowed attempt failed",
         }
@@ -140,9 +144,12 @@
         match (self.maybe_ran, give_up) {
             (true, GiveUp::Expired) => error_response(StatusCode::GATEWAY_TIMEOUT, None, reason),
             (true, _) => error_response(StatusCode::BAD_GATEWAY, None, reason),
-            (false, GiveUp::Refused(retry_after) | GiveUp::Quarantined(retry_after)) => {
-                error_response(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), reason)
-            }
+            (
+                false,
+                GiveUp::Refused(retry_after)
+                | GiveUp::Quarantined(retry_after)
+                | GiveUp::Evacuated(retry_after),
+            ) => error_response(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), reason),
             (false, _) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER), reason)
             }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -17,6 +17,7 @@
 
 use crate::adapter::{Batch, Error, Record, Store, Topic};
 use crate::clock::Clock;
+use crate::evacuation::{Evacuations, Outcome};
 use crate::hosts::Hosts;
 use crate::observe;
 use crate::placer::Placer;
@@ -78,6 +79,8 @@
     pub restored: Notify,
     /// Wakes the task that follows configurations when another host has a newer one.
     pub peer_version: Arc<PeerVersion>,
+    /// The evacuated failure domains.
+    pub evacuations: Arc<Evacuations>,
 }
 
 /// The newest configuration version that other hosts have in force.
@@ -144,6 +147,7 @@
         let interval = self.apply_limit.mul_f64(CONFIRMATION_SHARE);
         let mut cursor = Cursor::new(Topic::Configuration, Shared::Configuration, interval);
         loop {
+            let began = self.clock.now();
             let read = tokio::select! {
                 read = self.next_configurations(&mut cursor) => read,
                 () = self.peer_version.wait_until_behind(&self.registry) => {
@@ -152,8 +156,16 @@
                     continue;
                 }
             };
-            for record in read.map(|(batch, _)| batch.records).unwrap_or_default() {
-                self.handle_configuration(record);
+            if let Some((batch, reading)) = read {
+                let (outcome, others) = self.evacuations.apply_batch(batch, reading, began);
+                match outcome {
+                    Outcome::Unchanged => {}
+                    Outcome::Changed => self.hosts.publish(self.evacuations.extension()),
+                    Outcome::Unrelated => cursor.position.reset(),
+                }
+                for record in others {
+                    self.handle_configuration(record);
+                }
             }
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod broken;
 pub mod budget;
 mod clock;
+mod evacuation;
 mod evidence;
 mod fingerprint;
 mod follow;
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -15,6 +15,7 @@
 use kernel::quarantine::Suspect;
 use kernel::segment;
 use parking_lot::Mutex;
+use rand::Rng;
 use rand::rngs::SmallRng;
 
 use crate::adapter::{Dialect, Forwarding, Memory, Metadata};
@@ -34,6 +35,12 @@
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Shortest `Retry-After` while all endpoints of a service are evacuated. When they are taken back is
+/// not known.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time over which the retries of the clients that are refused meanwhile are spread.
+const EVACUATED_SPREAD: Duration = Duration::from_secs(1);
+
 /// Time in which all endpoints of a service run one request that may crash them. It is the shorter the
 /// more endpoints there are, so that such requests take few of them out of use at once.
 const SUSPECT_INTERVAL: Duration = Duration::from_secs(2);
@@ -74,6 +81,14 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
+    /// Returns why a request is refused at once if all endpoints of its service are in evacuated
+    /// failure domains.
+    pub(crate) fn evacuated(&self, service: &Service) -> Option<GiveUp> {
+        let spread = EVACUATED_SPREAD.mul_f64(self.rng.lock().random());
+        let evacuated = self.registry.is_evacuated(service);
+        evacuated.then(|| GiveUp::Evacuated(EVACUATED_RETRY_AFTER + spread))
+    }
+
     /// Decides whether a request may be sent, or sent once more after an endpoint crashed on it.
     pub(crate) async fn admit(&self, accepted: &Accepted) -> Result<Admission, GiveUp> {
         let endpoints = self.registry.count_ready(&accepted.service).max(1);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::catalogue::{Entry, Identity, Profile};
+use kernel::catalogue::{Identity, Profile};
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
@@ -254,18 +254,19 @@
         self.queues.lock().keys().cloned().collect()
     }
 
-    /// Replaces the engines of a service. Engines that remain keep their loads.
-    pub fn set_engines(&self, service: &Service, entries: &[Entry]) {
-        if let Some(queue) = self.queues.lock().get_mut(service) {
-            queue.pool.set_engines(entries.iter());
-        }
-    }
-
     /// Replaces the engines of all services by the registered ones, and starts waiting requests
-    /// that now have room.
+    /// that now have room. Engines that remain keep their loads.
+    ///
+    /// Engines of evacuated failure domains get nothing new. They stay in their pools, because their
+    /// running streams still use them when the domain is taken back.
     pub fn refresh_engines(&self, registry: &Registry) {
-        for service in self.services() {
-            self.set_engines(&service, &registry.ready(&service));
+        {
+            // Reads the registry under the lock, so that of two refreshes the later one prevails.
+            let mut queues = self.queues.lock();
+            for (service, queue) in queues.iter_mut() {
+                queue.pool.set_engines(registry.registered(service).iter());
+                queue.pool.set_evacuated(registry.evacuated());
+            }
         }
         self.assign_all();
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -57,6 +57,8 @@
     NotRun,
     /// Nothing was sent, with what this says about the endpoint and the reason.
     Unsent(Observation, String),
+    /// Nothing was sent, because the endpoint must get nothing new.
+    Withheld,
     /// The connection ended before the response did, with the reason. The call may have run.
     Broken(String),
     /// The call may have run, with the reason why there is no usable response.
@@ -103,7 +105,7 @@
                 last_failure = Some((head, body));
             }
             Outcome::NotRun => attempts.record_rejected(endpoint),
-            Outcome::Unsent(..) => attempts.record_unsent(endpoint),
+            Outcome::Unsent(..) | Outcome::Withheld => attempts.record_unsent(endpoint),
             Outcome::Broken(_) => {
                 attempts.record_run(endpoint);
                 if has_crashed(pipeline, accepted, &entry, began).await {
@@ -151,6 +153,11 @@
     attempts: &Attempts,
 ) -> Result<Entry, GiveUp> {
     let ready = pipeline.registry.ready(&accepted.service);
+    if ready.is_empty()
+        && let Some(give_up) = pipeline.evacuated(&accepted.service)
+    {
+        return Err(give_up);
+    }
     let balancer = pipeline.balancer.lock();
     let now = pipeline.clock.now();
     let picked = balancer.pick(ready.iter(), attempts.excluded(), &pipeline.domain, now);
@@ -183,7 +190,10 @@
         remaining
     };
     let exchange = async {
-        let exchange = pipeline.dialer.send(entry.address, request).await?;
+        let sending = pipeline.dialer.send_if(entry.address, request, || {
+            !pipeline.registry.is_withheld(entry.identity())
+        });
+        let exchange = sending.await?;
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
         pipeline.handle_notice(entry, head, sent_at);
@@ -203,6 +213,7 @@
         Ok(Ok(Err(reason))) => Outcome::Uncertain(reason),
         Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(Observation::Unresponsive, reason),
         Ok(Err(Failure::Refused(reason))) => Outcome::Unsent(Observation::Gone, reason),
+        Ok(Err(Failure::Withheld)) => Outcome::Withheld,
         Ok(Err(Failure::Uncertain(reason))) => Outcome::Broken(reason),
         Err(_) => {
             pipeline.dialer.close_idle(entry.address);
@@ -232,6 +243,7 @@
             ("failed", head.status.to_string())
         }
         Outcome::NotRun => ("not_run", String::new()),
+        Outcome::Withheld => ("withheld", String::new()),
         Outcome::Unsent(observation, reason) => {
             record(*observation);
             ("unsent", reason.clone())
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,21 +1,26 @@
 //! The current configuration and the registered endpoints.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::catalogue::{Catalogue, Configuration, Directory, Entry, Identity};
 use kernel::clock::Instant;
-use kernel::name::{Endpoint, Service};
+use kernel::evacuation::Evacuations;
+use kernel::name::{Domain, Endpoint, Service};
 use parking_lot::Mutex;
 
-/// The configuration and the endpoints.
+/// The configuration, the endpoints and the evacuated failure domains.
 ///
-/// At most one of the two locks is held at a time, and none across an `await`.
+/// Nothing may be sent to an endpoint that the registry does not return.
+///
+/// At most one of the locks is held at a time, and none across an `await`.
 #[derive(Debug)]
 pub struct Registry {
     catalogue: Mutex<Catalogue>,
     directory: Mutex<Directory>,
+    evacuations: Mutex<Evacuations>,
 }
 
 impl Registry {
@@ -26,6 +31,7 @@
         Self {
             catalogue: Mutex::default(),
             directory: Mutex::new(Directory::new(registration_ttl)),
+            evacuations: Mutex::default(),
         }
     }
 
@@ -51,23 +57,80 @@
         access(&mut self.directory.lock())
     }
 
+    /// Calls `access` with the evacuated failure domains locked.
+    pub fn with_evacuations<T>(&self, access: impl FnOnce(&mut Evacuations) -> T) -> T {
+        access(&mut self.evacuations.lock())
+    }
+
+    /// Returns the evacuated failure domains.
+    #[must_use]
+    pub fn evacuated(&self) -> BTreeSet<Domain> {
+        let evacuations = self.evacuations.lock();
+        let domains = evacuations.evacuated();
+        domains.map(|(domain, _)| domain.clone()).collect()
+    }
+
+    /// Returns the endpoints of a service that accept requests, including those of evacuated failure
+    /// domains, to which nothing new may be sent.
+    #[must_use]
+    pub fn registered(&self, service: &Service) -> Vec<Entry> {
+        self.directory.lock().ready(service).cloned().collect()
+    }
+
     /// Returns the endpoints of a service that accept requests.
     #[must_use]
     pub fn ready(&self, service: &Service) -> Vec<Entry> {
-        self.directory.lock().ready(service).cloned().collect()
+        let evacuated = self.evacuated();
+        let mut entries = self.registered(service);
+        entries.retain(|entry| !evacuated.contains(&entry.domain));
+        entries
+    }
+
+    /// Returns whether a service has endpoints, but all of them are in evacuated failure domains.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &Service) -> bool {
+        let evacuated = self.evacuated();
+        if evacuated.is_empty() {
+            return false;
+        }
+        let directory = self.directory.lock();
+        let mut entries = directory.ready(service).peekable();
+        entries.peek().is_some() && entries.all(|entry| evacuated.contains(&entry.domain))
     }
 
     /// Returns the number of endpoints of a service that accept requests.
     #[must_use]
     pub fn count_ready(&self, service: &Service) -> usize {
-        self.directory.lock().ready(service).count()
+        let evacuated = self.evacuated();
+        let directory = self.directory.lock();
+        let entries = directory.ready(service);
+        entries
+            .filter(|entry| !evacuated.contains(&entry.domain))
+            .count()
     }
 
     /// Returns the endpoint of a service with this identity, if it still accepts requests.
     #[must_use]
     pub fn endpoint(&self, service: &Service, identity: Identity) -> Option<Entry> {
+        let entry = {
+            let directory = self.directory.lock();
+            directory.find_ready(service, identity).cloned()
+        };
+        entry.filter(|entry| !self.evacuations.lock().contains(&entry.domain))
+    }
+
+    /// Returns whether an endpoint is in an evacuated failure domain, so that nothing new may be sent to
+    /// it.
+    #[must_use]
+    pub fn is_withheld(&self, identity: Identity) -> bool {
+        let evacuated = self.evacuated();
+        if evacuated.is_empty() {
+            return false;
+        }
         let directory = self.directory.lock();
-        directory.find_ready(service, identity).cloned()
+        let mut entries = directory.entries();
+        let entry = entries.find(|entry| entry.identity() == identity);
+        entry.is_some_and(|entry| evacuated.contains(&entry.domain))
     }
 
     /// Returns the identity of the endpoint at `address`.
@@ -79,10 +142,13 @@
         Some(entry.identity())
     }
 
-    /// Whether the host can serve: a configuration is in force and an endpoint is registered.
+    /// Whether the host can serve: a configuration is in force, the evacuations were read from the
+    /// store and an endpoint is registered.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.version() > 0 && self.directory.lock().entries().next().is_some()
+        self.version() > 0
+            && self.evacuations.lock().is_read()
+            && self.directory.lock().entries().next().is_some()
     }
 
     /// Handles the removal of an endpoint's entry; returns whether the endpoint is gone at once.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,8 +23,9 @@
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::clock::Clock;
+use crate::evacuation::Evacuations;
 use crate::follow::{Follower, PeerVersion};
-use crate::hosts::{Hosts, Tables};
+use crate::hosts::{Exchange, Hosts, Tables};
 use crate::notice::Notices;
 use crate::observe;
 use crate::pipeline::Pipeline;
@@ -109,12 +110,13 @@
         };
         let synced = settings.start() == Start::First;
         let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
+        let evacuations = Arc::new(Evacuations::new(clock, &registry, &placer));
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
-            exchanges: Vec::new(),
+            exchanges: vec![Arc::clone(&evacuations) as Arc<dyn Exchange>],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
         let pipeline = Arc::new(Pipeline {
@@ -143,6 +145,7 @@
             fleet,
             restored: Notify::new(),
             peer_version,
+            evacuations,
         });
         let server = Arc::new(Server::new(Arc::clone(&pipeline), clock));
         let draining = Arc::new(AtomicBool::new(false));
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -185,7 +185,10 @@
         let placing = self.pipeline.placer.place(&accepted.service, request);
         match timeout(remaining, placing).await {
             Ok(Ok(placement)) => Ok(placement),
-            Ok(Err(retry_after)) => Err(GiveUp::Refused(retry_after)),
+            Ok(Err(retry_after)) => {
+                let evacuated = self.pipeline.evacuated(&accepted.service);
+                Err(evacuated.unwrap_or(GiveUp::Refused(retry_after)))
+            }
             Err(_) => Err(GiveUp::Expired),
         }
     }
@@ -245,7 +248,14 @@
         } else {
             remaining
         };
-        let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
+        let helping = placement.plan.helpers.iter().map(|part| part.engine);
+        let used: Vec<_> = helping.chain([engine.identity()]).collect();
+        let sending = pipeline.dialer.send_if(engine.address, request, || {
+            !used
+                .iter()
+                .any(|engine| pipeline.registry.is_withheld(*engine))
+        });
+        let sent = timeout(limit, sending).await;
         match sent {
             Ok(Ok(exchange)) => {
                 self.pipeline
@@ -261,6 +271,16 @@
                 self.record_unsent(&engine, Observation::Gone, &reason);
                 Err(None)
             }
+            Ok(Err(Failure::Withheld)) => {
+                self.log_send(&engine, "withheld", "");
+                let withdrawn = used
+                    .iter()
+                    .filter(|engine| pipeline.registry.is_withheld(**engine));
+                let withdrawn = withdrawn.copied().next();
+                self.attempts
+                    .record_unsent(withdrawn.unwrap_or_else(|| engine.identity()));
+                Err(None)
+            }
             Ok(Err(Failure::Uncertain(reason))) => {
                 self.record_failure(&engine, Observation::Failed, &reason);
                 let run = broken::Run {
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -52,6 +52,10 @@
         Refused(reason: String) {
             display("nothing was sent: {}", reason)
         }
+        /// The peer must not get the request any more, so nothing was sent.
+        Withheld {
+            display("nothing was sent: the peer must get no new requests")
+        }
         /// The request was sent, and its outcome is unknown.
         Uncertain(reason: String) {
             display("no whole answer: {}", reason)
@@ -147,11 +151,29 @@
     /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise
     /// [`Failure::Uncertain`].
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failure> {
+        self.send_if(address, request, || true).await
+    }
+
+    /// Like [`Dialer::send`], but sends nothing unless `allowed` returns true once there is a
+    /// connection. Opening one may take longer than the notice that the peer must get nothing more.
+    ///
+    /// # Errors
+    ///
+    /// Also [`Failure::Withheld`] if `allowed` returns false.
+    pub async fn send_if(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        allowed: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
         while let Some(connection) = self.reuse_idle(address).await {
+            if !allowed() {
+                return Err(Failure::Withheld);
+            }
             match send_on(connection, request).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((Some(unsent), _)) => request = unsent,
@@ -159,6 +181,9 @@
             }
         }
         let connection = self.open(address).await?;
+        if !allowed() {
+            return Err(Failure::Withheld);
+        }
         send_on(connection, request)
             .await
             .map_err(|(unsent, reason)| match unsent {
