--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod contact;
 pub mod cost;
 pub mod deferred;
+pub mod evacuation;
 pub mod event;
 pub mod failure;
 pub mod fingerprint;
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -16,7 +16,7 @@
 use wire::extension::{Cold, Extension};
 
 use crate::clock::Clock;
-use crate::hosts::{Exchange, Sender};
+use crate::exchange::{Exchange, Sender};
 use crate::observe;
 use crate::placer::Placer;
 use crate::registry::Registry;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 mod clock;
 mod cold;
+mod evacuation;
 mod evidence;
 mod exchange;
 mod fingerprint;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::cold;
+use crate::evacuation::Evacuations;
 use crate::exchange::Exchange;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::{Hosts, Tables};
@@ -116,6 +117,7 @@
         let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
         let cold = cold::Tracker::new(&registry, &placer, &balancer, &fleet, clock, holder);
         let cold = Arc::new(cold);
+        let evacuations = Arc::new(Evacuations::new(clock, &registry, &placer));
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
@@ -124,6 +126,7 @@
             exchanges: vec![
                 Arc::clone(&placer) as Arc<dyn Exchange>,
                 Arc::<cold::Tracker>::clone(&cold),
+                Arc::<Evacuations>::clone(&evacuations),
             ],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
@@ -155,6 +158,7 @@
             fleet,
             restored: Notify::new(),
             peer_version,
+            evacuations,
         });
         let server = Arc::new(Server::new(Arc::clone(&pipeline), clock));
         let draining = Arc::new(AtomicBool::new(false));
