--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -123,7 +123,7 @@
         let changes = self
             .registry
             .with_evacuations(|table| table.merge(view, now));
-        let Sender { host, holder } = sender;
+        let Sender { host, holder, .. } = sender;
         let from = format!(" host={host} life={holder:x}");
         self.handle(&changes, position, "host", &from);
     }
