Let requests of returning clients wait for room

Change: such a request waits as long as others may, a third of its time. It stays behind all that can meet their objective.

--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -287,11 +287,15 @@
         }
         let max_wait = queued.request.deadline.since(queued.submitted) / WAIT_DIVISOR;
         let due = queued.request.due.since(queued.submitted);
-        let due = due.max(if queued.request.answer_started {
-            MIN_WAIT_ANSWER_STARTED
+        let due = if queued.request.answer_started {
+            due.max(MIN_WAIT_ANSWER_STARTED)
+        } else if due.is_zero() {
+            // The client was sent away before. It has waited as it was told, and gives up after another refusal, while
+            // waiting takes no room from requests that can still meet their objective.
+            max_wait
         } else {
-            MIN_WAIT
-        });
+            due.max(MIN_WAIT)
+        };
         let wait_left = max_wait
             .min(due)
             .saturating_sub(now.since(queued.submitted));
