--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{FIRST_EVENT_SLACK, Session, Upstream};
+use super::{Session, Upstream, first_event_limit};
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::broken;
@@ -244,7 +244,7 @@
             let limit = if started {
                 self.max_pause() + PAUSE_SLACK
             } else {
-                upstream.placement.plan.first_event * 2 + FIRST_EVENT_SLACK
+                first_event_limit(&upstream.placement.plan, remaining)
             };
             // Bytes that complete no event do not extend the time.
             let event_timeout = if wait_until_deadline {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -10,7 +10,7 @@
 use kernel::catalogue::{Entry, Profile};
 use kernel::clock::Instant;
 use kernel::outlier::Observation;
-use kernel::place::Request;
+use kernel::place::{Plan, Request};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -116,6 +116,21 @@
     }
 }
 
+/// Returns the time after which an engine that has sent nothing counts as unresponsive, if `remaining` is left for the
+/// request.
+///
+/// Another run of a prompt that several engines read wastes what all of them have read, and delays the prompts behind
+/// it. So such a run is given up only when it is time to start another one.
+fn first_event_limit(plan: &Plan, remaining: Duration) -> Duration {
+    let usual = plan.first_event * 2 + FIRST_EVENT_SLACK;
+    let limit = if plan.helpers.is_empty() {
+        usual
+    } else {
+        usual.max(remaining.saturating_sub(plan.first_event * 2) / 2)
+    };
+    limit.min(remaining)
+}
+
 impl Session {
     /// Forwards the head of the first engine's response and spawns a task that relays the events.
     fn respond(mut self, upstream: Upstream) -> Response<Body> {
@@ -246,7 +261,7 @@
         self.log_placed(&engine, &placement);
         let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
         let limit = if self.attempts.allowed_after_run() {
-            remaining.min(placement.plan.first_event * 2 + FIRST_EVENT_SLACK)
+            first_event_limit(&placement.plan, remaining)
         } else {
             remaining
         };
@@ -334,8 +349,14 @@
                 let named =
                     at_fault.and_then(|address| self.pipeline.registry.endpoint_at(address));
                 self.log_send(&engine, "not_run", head.status.as_str());
-                self.attempts
-                    .record_rejected(named.unwrap_or_else(|| engine.identity()));
+                let at_fault = named.unwrap_or_else(|| engine.identity());
+                if at_fault != engine.identity() {
+                    // Every prompt that uses this helper is rejected until it is avoided.
+                    let placer = &self.pipeline.placer;
+                    let service = &self.accepted.service;
+                    placer.record_observation(service, at_fault, Observation::Failed);
+                }
+                self.attempts.record_rejected(at_fault);
                 self.end_probe();
                 return Err(None);
             }
