--- a/crates/kernel/tests/cold.rs
+++ b/crates/kernel/tests/cold.rs
@@ -241,22 +241,28 @@
     let (all, mut pool) = (entries(4), pool(4));
     set_cold(&mut pool, &all[..2], NOW);
     let is_cold = |plan: &Plan| {
-        all[..2]
-            .iter()
-            .any(|entry| entry.identity() == plan.primary)
+        let mut cold = all[..2].iter().map(Entry::identity);
+        cold.any(|engine| engine == plan.primary)
     };
-    let (_, first) = start(&mut pool, short(after(600)), after(600)).expect("a plan");
-    assert!(!is_cold(&first), "a warm engine has room");
-    let mut used = 1;
-    for time in 0..3_000 {
-        let now = after(600 + time);
-        if let Some((id, plan)) = start(&mut pool, short(now), now) {
-            let cold = is_cold(&plan);
-            if pool.settle(id, plan.primary, now) && cold {
-                used += 1;
+    let (mut used, mut first) = (0, None);
+    for time in (600..3_600).step_by(10) {
+        let now = after(time);
+        pool.submit(short(now), now);
+        for (_, decision) in pool.assign(now) {
+            let (Decision::Start(id, plan) | Decision::Claim(id, plan)) = decision else {
+                continue;
+            };
+            first.get_or_insert(is_cold(&plan));
+            let holds = pool.settle(id, plan.primary, now);
+            pool.finish_prefill(id, now);
+            if is_cold(&plan) {
+                used += u32::from(holds);
+                // Only the turns bind.
+                pool.release(id);
             }
         }
     }
+    assert_eq!(first, Some(false), "a warm engine has room");
     assert!(
         (4..=15).contains(&used),
         "{used} on two cold engines in 3 s"
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -177,6 +177,8 @@
     fn apply(&self, sender: Sender<'_>, extension: &Extension) {
         match extension {
             Extension::Cold(endpoints) => {
+                let count = endpoints.len();
+                log::debug!("event=cold_told host={} endpoints={count}", sender.host);
                 for endpoint in endpoints {
                     self.apply_forwarded(endpoint);
                 }
