Prefer connected engines and keep idle connections as the peer announces

Openings were as many as requests on large fleets, since connections expired after 4 s and the choice ignored them. The effect on a fleet has not been measured.

--- a/crates/kernel/src/place/path.rs
+++ b/crates/kernel/src/place/path.rs
@@ -250,6 +250,21 @@
         self.price(domain, &CALL, now).cost_ms / REMOTE_DOMAIN_MS
     }
 
+    /// Returns the price of opening a connection to an endpoint in `domain`, in milliseconds.
+    ///
+    /// While no path has a noticeable round trip, it only decides between engines with equal cost.
+    #[must_use]
+    pub fn opening_price_ms(&self, domain: &Domain, now: Instant) -> f64 {
+        /// Below every other difference in the cost of engines.
+        const TIE_MS: f64 = 0.01;
+        let mut domains = self.domains();
+        if !domains.any(|other| self.extra_ms(other, now) >= MIN_NOTICEABLE_MS) {
+            return TIE_MS;
+        }
+        let estimate = self.estimate(domain, now);
+        TIE_MS.max(estimate.opening_ms + estimate.spread_ms)
+    }
+
     /// Returns the estimates of the path to `domain`.
     #[must_use]
     pub fn estimate(&self, domain: &Domain, now: Instant) -> Estimate {
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -4,6 +4,7 @@
 //! A stream is latency-sensitive if its events may pause for at most `SENSITIVE_PAUSE`, and
 //! latency-tolerant otherwise.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::engine::{Engine, Load};
@@ -103,6 +104,8 @@
     pub engines: Vec<&'a Engine>,
     pub speed: &'a Speed,
     pub paths: &'a Paths,
+    /// Engines to which this host holds an idle connection, if this is known.
+    pub connected: Option<&'a HashSet<Identity>>,
     pub now: Instant,
 }
 
@@ -132,6 +135,7 @@
     pass_ms: f64,
     shortest_pause: Option<Duration>,
     path: Price,
+    opening_ms: f64,
 }
 
 struct Candidate<'a> {
@@ -202,6 +206,17 @@
             pass_ms,
             shortest_pause: engine.shortest_pause(),
             path: self.paths.price(&engine.domain, &stream, self.now),
+            opening_ms: self.opening_ms(engine),
+        }
+    }
+
+    /// Returns the price of opening a connection to an engine, which is zero if none is needed.
+    fn opening_ms(&self, engine: &Engine) -> f64 {
+        match self.connected {
+            Some(connected) if !connected.contains(&engine.identity) => {
+                self.paths.opening_price_ms(&engine.domain, self.now)
+            }
+            _ => 0.0,
         }
     }
 
@@ -279,7 +294,7 @@
             let mixing = if has_sensitive { MIXING_MS } else { 0.0 };
             backlog + pass + mixing + (1.0 - engine.fill_order) * TOLERANT_FILL_ORDER_MS
         };
-        cost += estimate.path.cost_ms;
+        cost += estimate.path.cost_ms + estimate.opening_ms;
         if engine.pacer.limit().is_some() {
             cost += LIMITED_MS;
         }
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -1,6 +1,6 @@
 //! Manages the engines of one service, their loads and the queue of waiting requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,6 +76,7 @@
 pub struct Pool {
     speed: Speed,
     paths: Arc<Paths>,
+    connected: Option<HashSet<Identity>>,
     holder: u64,
     sequence: u32,
     pub(super) engines: HashMap<Identity, Engine>,
@@ -92,6 +93,7 @@
         Self {
             speed,
             paths: Arc::new(Paths::new(domain, &Host::from(""))),
+            connected: None,
             holder,
             sequence: 0,
             engines: HashMap::new(),
@@ -112,6 +114,11 @@
         self.paths = paths;
     }
 
+    /// Replaces the engines to which this host holds an idle connection.
+    pub fn set_connected(&mut self, connected: HashSet<Identity>) {
+        self.connected = Some(connected);
+    }
+
     /// Returns the current performance model.
     #[must_use]
     pub const fn speed(&self) -> &Speed {
@@ -299,6 +306,7 @@
             engines,
             speed: &self.speed,
             paths: &self.paths,
+            connected: self.connected.as_ref(),
             now,
         };
         let plan = view.plan(request, waited);
--- a/crates/kernel/tests/path.rs
+++ b/crates/kernel/tests/path.rs
@@ -239,3 +239,44 @@
     let much_later = later + Duration::from_secs(900);
     assert!(paths.price(&domain(1), &SHORT, much_later).delay_ms < 0.1);
 }
+
+/// Load: short streams on even links from a host with connections to some engines. Guards against
+/// connections that change the choice between engines of different cost.
+#[test]
+fn connections_change_no_choice_on_even_links() {
+    let engines = spread_entries(18);
+    let mut pool = spread_pool(paths("host-1"), &engines);
+    pool.set_connected(engines[..4].iter().map(Entry::identity).collect());
+    let choices = play(&mut pool, &engines, 160);
+    insta::assert_snapshot!("even_links_change_no_choice", choices);
+}
+
+/// Load: a host that starts on links with long round trips. Guards against an opening where another
+/// engine of nearly the same cost is connected.
+#[test]
+fn a_connected_engine_saves_the_round_trip_of_an_opening() {
+    let mut paths = paths("host-1");
+    paths.set_delays(delays(4.5).iter());
+    for _ in 0..30 {
+        paths.record_opening(&domain(0), Duration::from_millis(3), NOW);
+    }
+    let engines: Vec<_> = spread_entries(60);
+    let engines: Vec<_> = engines
+        .into_iter()
+        .filter(|entry| entry.domain == domain(0))
+        .collect();
+    let mut pool = spread_pool(paths.clone(), &engines);
+    let (id, first) = start(&mut pool, short(NOW), NOW).expect("a plan");
+    pool.release(id);
+    let mut by_order: Vec<_> = engines.iter().map(Entry::identity).collect();
+    by_order.sort_by_key(|identity| identity.0 % 1_000);
+    assert_eq!(first.primary, by_order[0]);
+    pool.set_connected([by_order[1]].into());
+    let (_, plan) = start(&mut pool, short(NOW), NOW).expect("a plan");
+    let gap = (by_order[1].0 % 1_000) - (by_order[0].0 % 1_000);
+    let opening_ms = paths.opening_price_ms(&domain(0), NOW);
+    let expected =
+        usize::from(f64::from(u32::try_from(gap).expect("below 1,000")) / 10.0 < opening_ms);
+    assert_eq!(plan.primary, by_order[expected], "{gap} {opening_ms}");
+    assert!(paths.opening_price_ms(&domain(1), NOW) > opening_ms);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod hosts;
 mod notice;
 mod observe;
+mod part;
 mod path;
 pub mod pipeline;
 mod placer;
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,6 +1,7 @@
 //! Places streams on engines and queues the updates for the other hosts.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,16 +10,18 @@
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
 use kernel::pace::Rate;
-use kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
+use kernel::place::{Decision, LoadId, Plan, Pool, Request, Speed};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::sleep;
-use wire::placement::{Item, Part, Placements, Scope};
+use wire::placement::{Item, Placements, Scope};
 
 use crate::clock::Clock;
 use crate::observe;
+use crate::part;
 use crate::path::Paths;
 use crate::registry::Registry;
+use crate::transport::Dialer;
 
 /// Time within which another host's claim on the same engines arrives: its batch window, the
 /// network latency between failure domains of a region, and one turn of a busy event loop.
@@ -30,6 +33,7 @@
 /// The pool of one service and the channels to its waiting requests.
 struct Queue {
     pool: Pool,
+    addresses: HashMap<SocketAddr, Identity>,
     waiters: HashMap<u64, oneshot::Sender<Decision>>,
 }
 
@@ -38,6 +42,7 @@
     clock: Clock,
     domain: Domain,
     paths: Arc<Paths>,
+    dialer: Dialer,
     holder: u64,
     queues: Mutex<HashMap<Service, Queue>>,
     updates: Mutex<Vec<Item>>,
@@ -104,11 +109,18 @@
 impl Placer {
     /// Creates a placer without engines. `holder` is the incarnation of this host.
     #[must_use]
-    pub fn new(clock: Clock, domain: Domain, paths: Arc<Paths>, holder: u64) -> Self {
+    pub fn new(
+        clock: Clock,
+        domain: Domain,
+        paths: Arc<Paths>,
+        dialer: Dialer,
+        holder: u64,
+    ) -> Self {
         Self {
             clock,
             domain,
             paths,
+            dialer,
             holder,
             queues: Mutex::default(),
             updates: Mutex::default(),
@@ -207,7 +219,7 @@
         let now = self.clock.now();
         let mut queues = self.queues.lock();
         for queue in queues.values_mut() {
-            queue.pool.set_paths(self.paths.current());
+            self.update_paths(queue);
             Self::assign(queue, now);
         }
     }
@@ -215,11 +227,24 @@
     fn assign_service(&self, service: &Service) {
         let now = self.clock.now();
         if let Some(queue) = self.queues.lock().get_mut(service) {
-            queue.pool.set_paths(self.paths.current());
+            self.update_paths(queue);
             Self::assign(queue, now);
         }
     }
 
+    /// Updates what the choice of engines needs to know of the paths to them.
+    fn update_paths(&self, queue: &mut Queue) {
+        if queue.pool.waiting() == 0 {
+            return;
+        }
+        queue.pool.set_paths(self.paths.current());
+        let idle = self.dialer.idle_addresses();
+        let connected = idle
+            .iter()
+            .filter_map(|address| queue.addresses.get(address).copied());
+        queue.pool.set_connected(connected.collect());
+    }
+
     fn assign(queue: &mut Queue, now: Instant) {
         if queue.pool.waiting() == 0 {
             return;
@@ -245,6 +270,7 @@
             let queue = previous.remove(service).map_or_else(
                 || Queue {
                     pool: Pool::new(speed.clone(), self.domain.clone(), self.holder),
+                    addresses: HashMap::new(),
                     waiters: HashMap::new(),
                 },
                 |mut queue| {
@@ -266,6 +292,10 @@
     pub fn set_engines(&self, service: &Service, entries: &[Entry]) {
         if let Some(queue) = self.queues.lock().get_mut(service) {
             queue.pool.set_engines(entries.iter());
+            let addresses = entries.iter();
+            queue.addresses = addresses
+                .map(|entry| (entry.address, entry.identity()))
+                .collect();
         }
     }
 
@@ -334,7 +364,7 @@
 
     fn push_start(&self, id: LoadId, plan: &Plan, now: Instant) {
         for (engine, load) in &plan.loads {
-            self.push_update(Item::Put(to_part(id, *engine, load, now)));
+            self.push_update(Item::Put(part::encode(id, *engine, load, now)));
         }
     }
 
@@ -393,7 +423,7 @@
         let pools = queues.values().map(|queue| &queue.pool);
         let loads = pools
             .flat_map(Pool::own_loads)
-            .map(|(engine, id, load)| Item::Put(to_part(id, engine, load, now)));
+            .map(|(engine, id, load)| Item::Put(part::encode(id, engine, load, now)));
         leaving.chain(loads).collect()
     }
 
@@ -434,16 +464,7 @@
         };
         match item {
             Item::Put(part) => {
-                let load = Load {
-                    tokens: part.tokens,
-                    prefill_time: Duration::from_millis(part.prefill_ms.into()),
-                    prefilled_by: now + Duration::from_millis(part.prefilled_by_ms.into()),
-                    prefilled: part.prefilled,
-                    ends_by: now + Duration::from_millis(part.ends_by_ms.into()),
-                    decodes: part.decodes,
-                    pause: Duration::from_millis(part.pause_ms.into()),
-                    snapshot: frame.snapshot,
-                };
+                let load = part::decode(part, frame.snapshot, now);
                 let (id, engine) = (id(part.sequence), Identity(part.engine));
                 match frame.scope {
                     Scope::Updates => pool.put_remote(id, engine, load, now),
@@ -481,18 +502,3 @@
         }
     }
 }
-
-fn to_part(id: LoadId, engine: Identity, load: &Load, now: Instant) -> Part {
-    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-    Part {
-        sequence: id.sequence,
-        engine: engine.0,
-        tokens: load.tokens,
-        prefill_ms: millis(load.prefill_time),
-        prefilled: load.prefilled,
-        prefilled_by_ms: millis(load.prefilled_by.since(now)),
-        ends_by_ms: millis(load.ends_by.since(now)),
-        decodes: load.decodes,
-        pause_ms: millis(load.pause),
-    }
-}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,7 +99,13 @@
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let own = Host::from(settings.host.as_str());
         let paths = Arc::new(Paths::new(clock, domain.clone(), &own));
-        let placer = Placer::new(clock, domain.clone(), Arc::clone(&paths), holder);
+        let placer = Placer::new(
+            clock,
+            domain.clone(),
+            Arc::clone(&paths),
+            dialer.clone(),
+            holder,
+        );
         let placer = Arc::new(placer);
         let balancer = Arc::new(Mutex::new(Balancer::default()));
         let notices = Notices::new(&registry, &placer, &balancer, clock);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -35,6 +35,14 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the end of the peer's announced idle timeout at which a connection expires.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+/// Maximum idle time of a connection whose peer announces a longer one.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Number of connections for each address that stay idle longer than `IDLE_TIMEOUT`. All hosts
+/// together keep within the connection limits of endpoints.
+const LONG_IDLE_PER_ADDRESS: usize = 2;
+/// Number of idle connections to all addresses above which none stays idle longer than
+/// `IDLE_TIMEOUT`, because small hosts have few descriptors.
+const MAX_LONG_IDLE: usize = 512;
 /// Maximum number of idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 /// Maximum buffer size of a connection, in bytes; hyper's minimum.
@@ -90,6 +98,7 @@
 struct IdleConnection {
     sender: Sender,
     task: AbortHandle,
+    idle_since: Instant,
     expires_at: Instant,
 }
 
@@ -127,6 +136,7 @@
         let kept = IdleConnection {
             sender,
             task: self.task.clone(),
+            idle_since: Instant::now(),
             expires_at: Instant::now() + idle,
         };
         self.dialer.store_idle(self.address, kept);
@@ -223,6 +233,12 @@
         }
     }
 
+    /// Returns the addresses to which there are idle connections.
+    #[must_use]
+    pub fn idle_addresses(&self) -> Vec<SocketAddr> {
+        self.idle.lock().keys().copied().collect()
+    }
+
     /// Closes all idle connections to `address`. Called after a connection to it stopped
     /// responding.
     pub fn close_idle(&self, address: SocketAddr) {
@@ -245,9 +261,17 @@
 
     /// Closes idle connections that have expired, and drops those that the peer closed.
     pub fn close_expired(&self, now: Instant) {
-        self.idle.lock().retain(|_, kept| {
+        let mut idle = self.idle.lock();
+        let few = idle.values().map(Vec::len).sum::<usize>() <= MAX_LONG_IDLE;
+        idle.retain(|_, kept| {
+            // The connections that are used first are at the end.
+            let mut after = kept.len();
             kept.retain(|connection| {
-                let keep = connection.expires_at > now && !connection.sender.is_closed();
+                after -= 1;
+                let long = few && after < LONG_IDLE_PER_ADDRESS;
+                let recent = now.duration_since(connection.idle_since) < IDLE_TIMEOUT;
+                let open = connection.expires_at > now && !connection.sender.is_closed();
+                let keep = open && (long || recent);
                 if !keep {
                     connection.task.abort();
                 }
@@ -406,7 +430,7 @@
         seconds.trim().parse().ok().map(Duration::from_secs)
     });
     let idle = announced.map_or(IDLE_TIMEOUT, |time| {
-        time.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT)
+        time.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
     });
     (!idle.is_zero()).then_some(idle)
 }
