--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -1,6 +1,6 @@
 //! Manages the engines of one service, their loads and the queue of waiting requests.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -78,6 +78,7 @@
 pub struct Pool {
     speed: Speed,
     paths: Arc<Paths>,
+    connected: Option<HashSet<Identity>>,
     holder: u64,
     sequence: u32,
     pub(super) engines: HashMap<Identity, Engine>,
@@ -98,6 +99,7 @@
         Self {
             speed,
             paths: Arc::new(Paths::new(domain, &Host::from(""))),
+            connected: None,
             holder,
             sequence: 0,
             engines: HashMap::new(),
@@ -121,6 +123,11 @@
         self.paths = paths;
     }
 
+    /// Replaces the engines to which this host holds an idle connection.
+    pub fn set_connected(&mut self, connected: HashSet<Identity>) {
+        self.connected = Some(connected);
+    }
+
     /// Returns the current performance model.
     #[must_use]
     pub const fn speed(&self) -> &Speed {
@@ -343,6 +350,7 @@
             speed: &self.speed,
             paths: &self.paths,
             slowness: self.slowness.factor(now),
+            connected: self.connected.as_ref(),
             now,
         };
         let plan = view.plan(request, waited);
