--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -92,6 +92,19 @@
         stats.is_some_and(|stats| stats.pacer.limit().is_some())
     }
 
+    /// Returns whether the requests to an endpoint are spaced.
+    #[must_use]
+    pub fn is_paced(&self, identity: Identity, now: Instant) -> bool {
+        let stats = self.endpoints.get(&identity);
+        stats.is_some_and(|stats| stats.pacer.is_paced(now))
+    }
+
+    /// Uses an endpoint again at a rising rate. See [`Pacer::restart`].
+    pub fn restart(&mut self, identity: Identity, rate: Rate, duration: Duration, now: Instant) {
+        let stats = self.endpoints.entry(identity).or_default();
+        stats.pacer.restart(rate, duration, now);
+    }
+
     /// Returns the time until an endpoint accepts a request from this host.
     fn wait(&self, identity: Identity, now: Instant) -> Duration {
         let stats = self.endpoints.get(&identity);
--- a/crates/kernel/src/pace.rs
+++ b/crates/kernel/src/pace.rs
@@ -64,6 +64,32 @@
 /// claim is settled, and its request has been announced or the claim was lost.
 const CLAIM_HOLD: Duration = Duration::from_millis(25);
 
+/// Part of the full rate with which an endpoint is used again.
+const RESTART_SHARE: f64 = 0.5;
+
+/// The rising rate at which an endpoint is used again that may have become cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Restart {
+    rate: Rate,
+    from: Instant,
+    duration: Duration,
+    /// Time of the next turn.
+    next: Instant,
+}
+
+impl Restart {
+    /// Returns the time between two requests at `at`.
+    fn interval(&self, at: Instant) -> Duration {
+        let progress = at.since(self.from).as_secs_f64() / self.duration.as_secs_f64();
+        let share = RESTART_SHARE + (1.0 - RESTART_SHARE) * progress.clamp(0.0, 1.0);
+        self.rate.interval().div_f64(share)
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        now.since(self.from) >= self.duration
+    }
+}
+
 /// The limit of one endpoint and the next turn at it, as one host knows them.
 ///
 /// Requests are spaced evenly, so that an endpoint that was idle gets no burst.
@@ -76,6 +102,8 @@
     next: Instant,
     /// Time until which the turn is kept for another host.
     held_until: Instant,
+    /// Bound on the rate of an endpoint that is used again, beside the limit that it names.
+    restart: Option<Restart>,
 }
 
 impl Pacer {
@@ -115,17 +143,48 @@
     /// Returns the time until the next request may be sent, which is zero without a limit.
     #[must_use]
     pub fn wait(&self, now: Instant) -> Duration {
-        match self.limit {
+        let limited = match self.limit {
             Some(_) => self.next.max(self.held_until).since(now),
             None => Duration::ZERO,
-        }
+        };
+        let restarting = self.restarting(now);
+        let turn = restarting.map_or(Duration::ZERO, |restart| {
+            restart.next.max(self.held_until).since(now)
+        });
+        limited.max(turn)
+    }
+
+    /// Spaces requests to an endpoint that is used again from `now` on. The rate rises from a part of
+    /// `rate` to the whole of it within `duration`, and is free after that.
+    pub fn restart(&mut self, rate: Rate, duration: Duration, now: Instant) {
+        let restart = Restart {
+            rate,
+            from: now,
+            duration,
+            next: now,
+        };
+        self.restart = (!duration.is_zero()).then_some(restart);
+    }
+
+    fn restarting(&self, now: Instant) -> Option<&Restart> {
+        self.restart
+            .as_ref()
+            .filter(|restart| !restart.is_over(now))
+    }
+
+    /// Returns whether requests are spaced, so that hosts tell each other of each of them.
+    #[must_use]
+    pub fn is_paced(&self, now: Instant) -> bool {
+        self.limit.is_some() || self.restarting(now).is_some()
     }
 
     /// Returns whether the turn has come and no request has taken it, even if it is kept for
     /// another host.
     #[must_use]
     pub fn is_free(&self, now: Instant) -> bool {
-        self.limit.is_none() || self.next <= now
+        let limited = self.limit.is_some() && self.next > now;
+        let restarting = self.restarting(now);
+        !limited && restarting.is_none_or(|restart| restart.next <= now)
     }
 
     /// Records that this or another host sends a request at `at`, which takes the turn.
@@ -133,6 +192,11 @@
         if let Some(rate) = self.limit {
             self.next = self.next.max(at) + rate.interval();
         }
+        if let Some(restart) = &mut self.restart
+            && !restart.is_over(at)
+        {
+            restart.next = restart.next.max(at) + restart.interval(at);
+        }
     }
 
     /// Keeps the turn for another host that has claimed it.
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -242,8 +242,8 @@
             if let Some(plan) = self.plan(&queued.request, now.since(queued.submitted), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                // A turn at a limited engine is a last slot.
-                let slots_left = if self.is_limited(plan.primary) {
+                // A turn at an engine whose requests are spaced is a last slot.
+                let slots_left = if self.is_paced(plan.primary, now) {
                     0
                 } else {
                     self.slots_left(plan.primary)
--- a/crates/kernel/src/place/turns.rs
+++ b/crates/kernel/src/place/turns.rs
@@ -6,6 +6,7 @@
 use super::pool::Pool;
 use crate::catalogue::Identity;
 use crate::clock::Instant;
+use crate::name::Domain;
 use crate::pace::Rate;
 
 impl Pool {
@@ -72,10 +73,20 @@
         })
     }
 
-    /// Returns whether an engine names a limit.
+    /// Returns whether the requests to an engine are spaced.
     #[must_use]
-    pub fn is_limited(&self, identity: Identity) -> bool {
+    pub fn is_paced(&self, identity: Identity, now: Instant) -> bool {
         let engine = self.engines.get(&identity);
-        engine.is_some_and(|engine| engine.pacer.limit().is_some())
+        engine.is_some_and(|engine| engine.pacer.is_paced(now))
+    }
+
+    /// Uses the engines of `domain` again at a rising rate. See [`Pacer::restart`].
+    ///
+    /// [`Pacer::restart`]: crate::pace::Pacer::restart
+    pub fn restart(&mut self, domain: &Domain, rate: Rate, duration: Duration, now: Instant) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| engine.domain == *domain) {
+            engine.pacer.restart(rate, duration, now);
+        }
     }
 }
--- a/crates/kernel/tests/pace.rs
+++ b/crates/kernel/tests/pace.rs
@@ -351,3 +351,27 @@
     balancer.record_request(limited, after(600));
     assert_eq!(pick(&balancer), Some(other), "no turn is left");
 }
+
+/// Guards against endpoints that get all their load at once when they are used again, although they
+/// became cold meanwhile, and against a bound that stays.
+#[test]
+fn endpoint_that_is_used_again_gets_requests_at_a_rising_rate() {
+    let start = Instant::from_millis(1_000);
+    let rate = Rate::per_second(10.0).expect("a rate");
+    let mut pacer = Pacer::default();
+    pacer.restart(rate, Duration::from_secs(4), start);
+    // A response without a limit does not end it.
+    pacer.observe(None, start);
+    let mut per_second = [0; 4];
+    for ms in 0..4_000_u64 {
+        let now = start + Duration::from_millis(ms);
+        if pacer.wait(now).is_zero() {
+            assert!(pacer.is_paced(now) && pacer.is_free(now));
+            pacer.record_request(now);
+            per_second[usize::try_from(ms / 1_000).expect("few")] += 1;
+        }
+    }
+    assert_eq!(per_second, [6, 7, 8, 9]);
+    let end = start + Duration::from_secs(4);
+    assert!(pacer.wait(end).is_zero() && !pacer.is_paced(end));
+}
--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use kernel::balance::Balancer;
 use kernel::clock::Instant;
 use kernel::evacuation::{Applied, Change, View};
 use kernel::name::Domain;
 use kernel::position::Reading;
+use parking_lot::Mutex;
 use wire::extension::{self, Extension};
 
 use crate::adapter::{Batch, Record};
@@ -20,6 +22,7 @@
     clock: Clock,
     registry: Arc<Registry>,
     placer: Arc<Placer>,
+    balancer: Arc<Mutex<Balancer>>,
 }
 
 /// What a read of the store changed.
@@ -35,11 +38,17 @@
 
 impl Evacuations {
     /// Creates an instance that changes these tables.
-    pub fn new(clock: Clock, registry: &Arc<Registry>, placer: &Arc<Placer>) -> Self {
+    pub fn new(
+        clock: Clock,
+        registry: &Arc<Registry>,
+        placer: &Arc<Placer>,
+        balancer: &Arc<Mutex<Balancer>>,
+    ) -> Self {
         Self {
             clock,
             registry: Arc::clone(registry),
             placer: Arc::clone(placer),
+            balancer: Arc::clone(balancer),
         }
     }
 
@@ -100,6 +109,9 @@
                 Change::Evacuated(domain) => (domain, "evacuated"),
                 Change::TakenBack(domain) => (domain, "taken_back"),
             };
+            if let Change::TakenBack(domain) = change {
+                self.restart(domain);
+            }
             log::warn!(
                 "event=evacuation domain={domain} state={state} position={position} source={source}{from}"
             );
@@ -113,6 +125,45 @@
     }
 }
 
+impl Evacuations {
+    /// Uses the endpoints of a domain that is taken back at a rising rate, where the configuration says
+    /// that endpoints become cold.
+    fn restart(&self, domain: &Domain) {
+        let Some(configuration) = self.registry.configuration() else {
+            return;
+        };
+        for (service, entry) in &configuration.services {
+            let Some(cold) = entry.cold else {
+                continue;
+            };
+            self.placer.restart(service, domain, cold);
+            let now = self.clock.now();
+            let endpoints = self.registry.registered(service);
+            let endpoints = endpoints.iter().filter(|entry| entry.domain == *domain);
+            for endpoint in endpoints.filter(|_| entry.engine.is_none()) {
+                let mut balancer = self.balancer.lock();
+                balancer.restart(endpoint.identity(), cold.rate, cold.duration, now);
+            }
+        }
+    }
+
+    /// Returns lines for the metrics page: each domain that is or was evacuated, its state, and the
+    /// time since this host learnt of it in seconds.
+    pub fn render(&self) -> String {
+        let now = self.clock.now();
+        self.registry.with_evacuations(|table| {
+            let evacuated = table.evacuated().map(|state| (state, "evacuated"));
+            let taken_back = table.taken_back().map(|state| (state, "taken_back"));
+            let lines = evacuated.chain(taken_back).map(|((domain, since), state)| {
+                let seconds = now.since(since).as_secs_f64();
+                // The debug form escapes quotation marks and backslashes as labels need it.
+                format!("filbertstage_evacuation_seconds{{domain={:?},state=\"{state}\"}} {seconds:.1}\n", domain.as_str())
+            });
+            lines.collect()
+        })
+    }
+}
+
 impl Exchange for Evacuations {
     fn apply(&self, sender: Sender<'_>, extension: &Extension) {
         let Extension::Evacuations(told) = extension else {
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -134,7 +134,7 @@
     pub fn record_call(&self, identity: Identity) {
         let now = self.clock.now();
         let mut balancer = self.balancer.lock();
-        if balancer.is_limited(identity) {
+        if balancer.is_paced(identity, now) {
             balancer.record_request(identity, now);
             drop(balancer);
             self.placer.push_update(Item::Request(identity.0));
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::catalogue::{Identity, Profile};
+use kernel::catalogue::{Cold, Identity, Profile};
 use kernel::clock::Instant;
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
@@ -191,7 +191,7 @@
             return false;
         };
         let holds = queue.pool.settle(id, primary, now);
-        let takes_turn = holds && queue.pool.is_limited(primary);
+        let takes_turn = holds && queue.pool.is_paced(primary, now);
         drop(queues);
         if takes_turn {
             self.push_update(Item::Request(primary.0));
@@ -271,6 +271,14 @@
         self.assign_all();
     }
 
+    /// Uses the engines of `domain` again at a rising rate. See [`Pool::restart`].
+    pub fn restart(&self, service: &Service, domain: &Domain, cold: Cold) {
+        let now = self.clock.now();
+        if let Some(queue) = self.queues.lock().get_mut(service) {
+            queue.pool.restart(domain, cold.rate, cold.duration, now);
+        }
+    }
+
     /// Tells the other hosts that an endpoint has announced that it leaves.
     pub fn announce_leaving(&self, identity: Identity) {
         let until = self.clock.now() + LEAVING_REPEATED;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -110,7 +110,7 @@
         };
         let synced = settings.start() == Start::First;
         let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
-        let evacuations = Arc::new(Evacuations::new(clock, &registry, &placer));
+        let evacuations = Arc::new(Evacuations::new(clock, &registry, &placer, &balancer));
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
@@ -145,7 +145,7 @@
             fleet,
             restored: Notify::new(),
             peer_version,
-            evacuations,
+            evacuations: Arc::clone(&evacuations),
         });
         let server = Arc::new(Server::new(Arc::clone(&pipeline), clock));
         let draining = Arc::new(AtomicBool::new(false));
@@ -163,6 +163,7 @@
             quarantine: Arc::clone(&quarantine),
             server: Arc::clone(&server),
             draining: Arc::clone(&draining),
+            evacuations,
         };
         spawn_admin(&mut tasks, readiness, metrics, &admin);
         log::info!(
@@ -262,6 +263,7 @@
     quarantine: Arc<Quarantine>,
     server: Arc<Server>,
     draining: Arc<AtomicBool>,
+    evacuations: Arc<Evacuations>,
 }
 
 impl Admin {
@@ -289,7 +291,8 @@
             .registry
             .with_directory(|directory| directory.entries().count());
         observe::set_gauge("filbertstage_endpoints", entries as u64);
-        Response::new(Body::whole(telemetry::metrics::render()))
+        let page = telemetry::metrics::render() + &self.evacuations.render();
+        Response::new(Body::whole(page))
     }
 }
 
