--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -113,11 +113,11 @@
         stats.is_some_and(|stats| stats.pacer.is_cold(now))
     }
 
-    /// Returns whether an endpoint names a limit or is cold.
+    /// Returns whether the requests to an endpoint are spaced.
     #[must_use]
     pub fn is_paced(&self, identity: Identity, now: Instant) -> bool {
         let stats = self.endpoints.get(&identity);
-        stats.is_some_and(|stats| stats.pacer.rate(now).is_some())
+        stats.is_some_and(|stats| stats.pacer.is_paced(now))
     }
 
     /// Sets which endpoints are cold.
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Uses an endpoint again at a rising rate. See [`Pacer::restart`].
+    pub fn restart(&mut self, identity: Identity, rate: Rate, duration: Duration, now: Instant) {
+        let stats = self.endpoints.entry(identity).or_default();
+        stats.pacer.restart(rate, duration, now);
+    }
+
     /// Returns the time until an endpoint accepts a request from this host.
     fn wait(&self, identity: Identity, now: Instant) -> Duration {
         let stats = self.endpoints.get(&identity);
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -278,7 +278,7 @@
             if let Some(plan) = self.plan(&queued.request, now.since(queued.submitted), now) {
                 let id = self.next_id();
                 self.apply(id, &plan, now);
-                // A turn at a paced engine is a last slot.
+                // A turn at an engine whose requests are spaced is a last slot.
                 let slots_left = if self.is_paced(plan.primary, now) {
                     0
                 } else {
--- a/crates/kernel/src/place/turns.rs
+++ b/crates/kernel/src/place/turns.rs
@@ -9,6 +9,7 @@
 use crate::catalogue::Identity;
 use crate::clock::Instant;
 use crate::cold::Phase;
+use crate::name::Domain;
 use crate::pace::Rate;
 
 /// Maximum time that is added to the time of a turn.
@@ -78,19 +79,29 @@
         })
     }
 
-    /// Returns whether an engine names a limit or is cold.
+    /// Returns whether the requests to an engine are spaced.
     #[must_use]
     pub fn is_paced(&self, identity: Identity, now: Instant) -> bool {
         let engine = self.engines.get(&identity);
-        engine.is_some_and(|engine| engine.pacer.rate(now).is_some())
+        engine.is_some_and(|engine| engine.pacer.is_paced(now))
     }
 
-    /// Returns the engines of a request that name a limit or are cold.
+    /// Uses the engines of `domain` again at a rising rate. See [`Pacer::restart`].
+    ///
+    /// [`Pacer::restart`]: crate::pace::Pacer::restart
+    pub fn restart(&mut self, domain: &Domain, rate: Rate, duration: Duration, now: Instant) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| engine.domain == *domain) {
+            engine.pacer.restart(rate, duration, now);
+        }
+    }
+
+    /// Returns the engines of a request whose requests are spaced.
     #[must_use]
     pub fn paced_engines(&self, id: LoadId, now: Instant) -> Vec<Identity> {
         let engines = self.engines.values();
         let paced = engines.filter(|engine| {
-            engine.pacer.rate(now).is_some() && engine.loads().any(|(other, _)| other == id)
+            engine.pacer.is_paced(now) && engine.loads().any(|(other, _)| other == id)
         });
         paced.map(|engine| engine.identity).collect()
     }
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::catalogue::{Identity, Profile};
+use kernel::catalogue::{Cold, Identity, Profile};
 use kernel::clock::Instant;
 use kernel::cold::Phase;
 use kernel::name::{Domain, Service};
@@ -314,6 +314,14 @@
         self.assign_all();
     }
 
+    /// Uses the engines of `domain` again at a rising rate. See [`Pool::restart`].
+    pub fn restart(&self, service: &Service, domain: &Domain, cold: Cold) {
+        let now = self.clock.now();
+        if let Some(queue) = self.queues.lock().get_mut(service) {
+            queue.pool.restart(domain, cold.rate, cold.duration, now);
+        }
+    }
+
     /// Tells the other hosts that an endpoint has announced that it leaves.
     pub fn announce_leaving(&self, identity: Identity) {
         let until = self.clock.now() + LEAVING_REPEATED;
