--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -96,7 +96,7 @@
     /// Returns the current view for the other hosts.
     pub fn extension(&self) -> Option<Extension> {
         let view = self.registry.with_evacuations(|table| table.view());
-        view.map(encode)
+        view.as_ref().map(encode)
     }
 
     /// Logs changes, which came from `source`, and applies them to the engines.
@@ -156,8 +156,10 @@
             let taken_back = table.taken_back().map(|state| (state, "taken_back"));
             let lines = evacuated.chain(taken_back).map(|((domain, since), state)| {
                 let seconds = now.since(since).as_secs_f64();
+                let name = domain.as_str();
                 // The debug form escapes quotation marks and backslashes as labels need it.
-                format!("filbertstage_evacuation_seconds{{domain={:?},state=\"{state}\"}} {seconds:.1}\n", domain.as_str())
+                let labels = format!("domain={name:?},state={state:?}");
+                format!("filbertstage_evacuation_seconds{{{labels}}} {seconds:.1}\n")
             });
             lines.collect()
         })
@@ -182,11 +184,11 @@
     fn repeated(&self) -> Vec<Extension> {
         let now = self.clock.now();
         let view = self.registry.with_evacuations(|table| table.repeated(now));
-        view.map(encode).into_iter().collect()
+        view.as_ref().map(encode).into_iter().collect()
     }
 }
 
-fn encode(view: View) -> Extension {
+fn encode(view: &View) -> Extension {
     Extension::Evacuations(extension::Evacuations {
         era: view.era,
         position: view.position,
