--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -296,9 +296,11 @@
         let due = queued.request.due.since(queued.submitted);
         let due = if queued.request.answer_started {
             due.max(MIN_WAIT_ANSWER_STARTED)
-        } else if due.is_zero() {
-            // The client was sent away before. It has waited as it was told, and gives up after another refusal, while
-            // waiting takes no room from requests that can still meet their objective.
+        } else if due.is_zero()
+            && min_engines(self.speed.prefill_ms(queued.request.prompt_tokens)) > 1
+        {
+            // The client was sent away before and has waited as it was told. Several engines are seldom free at the
+            // same time, and the client gives up after another refusal.
             max_wait
         } else {
             due.max(MIN_WAIT)
