--- a/crates/kernel/src/cold/mod.rs
+++ b/crates/kernel/src/cold/mod.rs
@@ -23,7 +23,7 @@
 /// written about every 1.2 s.
 const UNBROKEN: Duration = Duration::from_secs(3);
 /// Time for which an endpoint that is gone is remembered, beyond the end of its cold time.
-const RETENTION: Duration = Duration::from_secs(60);
+const RETENTION: Duration = Duration::from_mins(1);
 
 /// Where the cold time of an endpoint is known from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/kernel/src/cold/slowness.rs
+++ b/crates/kernel/src/cold/slowness.rs
@@ -11,7 +11,7 @@
 /// Weight of one observation.
 const WEIGHT: f64 = 0.2;
 /// Time in which the distance from the prior halves without observations.
-const HALF_LIFE: Duration = Duration::from_secs(120);
+const HALF_LIFE: Duration = Duration::from_mins(2);
 
 /// Factor by which the prefill and pass times of cold engines exceed the published ones.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,8 +99,7 @@
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
         let balancer = Arc::new(Mutex::new(Balancer::default()));
-        let notices = Notices::new(&registry, &placer, &balancer, clock);
-        let notices = Arc::new(notices);
+        let notices = Arc::new(Notices::new(&registry, &placer, &balancer, clock));
         let own = Host::from(settings.host.as_str());
         let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
