--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -111,8 +111,7 @@
         );
         let placer = Arc::new(placer);
         let balancer = Arc::new(Mutex::new(Balancer::default()));
-        let notices = Notices::new(&registry, &placer, &balancer, clock);
-        let notices = Arc::new(notices);
+        let notices = Arc::new(Notices::new(&registry, &placer, &balancer, clock));
         let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
         let location = Location {
