--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -93,8 +93,8 @@
     pub helpers: Vec<Part>,
     /// Predicted time to the first event.
     pub first_event: Duration,
-    /// Part of `first_event` that is due to the slowness of the primary engine.
-    pub slow: Duration,
+    /// Part of `first_event` that is due to the slowness of the primary engine, in milliseconds.
+    pub slow_ms: f32,
     /// Predicted time between two events.
     pub pass: Duration,
     /// Loads that the plan adds, with their engines.
@@ -415,7 +415,7 @@
             primary: primary.engine.identity,
             helpers: parts,
             first_event: duration_from_ms(prefill_ms + pass + primary.path_ms + primary.slow_ms),
-            slow: duration_from_ms(primary.slow_ms),
+            slow_ms: narrow(primary.slow_ms),
             pass: duration_from_ms(pass),
             loads,
         }
@@ -432,6 +432,12 @@
     }
 }
 
+/// Converts milliseconds, whose fractions below a microsecond do not matter.
+#[allow(clippy::cast_possible_truncation)]
+const fn narrow(millis: f64) -> f32 {
+    millis as f32
+}
+
 /// Returns the cost of a latency-sensitive stream on an engine.
 ///
 /// The cost packs such streams on few engines while their first events are early enough.
--- a/crates/relay/src/part.rs
+++ b/crates/relay/src/part.rs
@@ -33,6 +33,6 @@
         ends_by: now + Duration::from_millis(part.ends_by_ms.into()),
         decodes: part.decodes,
         pause: Duration::from_millis(part.pause_ms.into()),
-        snapshot: snapshot,
+        snapshot,
     }
 }
--- a/crates/relay/src/placer/placement.rs
+++ b/crates/relay/src/placer/placement.rs
@@ -23,7 +23,9 @@
     pub fn record_first_event(&self, elapsed: Duration) {
         // Helpers may delay the first event of the primary engine.
         if self.plan.helpers.is_empty() {
-            let predicted = self.plan.first_event.saturating_sub(self.plan.slow);
+            // The share of a huge prediction may not be a valid duration.
+            let slow = Duration::try_from_secs_f32(self.plan.slow_ms / 1e3).unwrap_or_default();
+            let predicted = self.plan.first_event.saturating_sub(slow);
             let now = self.placer.clock.now();
             let mut queues = self.placer.queues.lock();
             let queue = queues.get_mut(&self.service);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,14 +99,7 @@
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let own = Host::from(settings.host.as_str());
         let paths = Arc::new(Paths::new(clock, domain.clone(), &own));
-        let placer = Placer::new(
-            clock,
-            domain.clone(),
-            Arc::clone(&paths),
-            dialer.clone(),
-            holder,
-        );
-        let placer = Arc::new(placer);
+        let placer = new_placer(clock, &domain, &paths, &dialer, holder);
         let balancer = Arc::new(Mutex::new(Balancer::default()));
         let notices = Notices::new(&registry, &placer, &balancer, clock);
         let notices = Arc::new(notices);
@@ -234,6 +227,17 @@
     }
 }
 
+fn new_placer(
+    clock: Clock,
+    domain: &Domain,
+    paths: &Arc<Paths>,
+    dialer: &Dialer,
+    holder: u64,
+) -> Arc<Placer> {
+    let (paths, dialer) = (Arc::clone(paths), dialer.clone());
+    Arc::new(Placer::new(clock, domain.clone(), paths, dialer, holder))
+}
+
 fn new_fleet(settings: &Settings, holder: u64, clock: Clock) -> Fleet {
     let own = Host::from(settings.host.as_str());
     let window = settings.retry.window();
