Compare positions in the fill order instead of engines with equal ones

Two of the tested engines have the same position, so the choice between them without connections is arbitrary. The test failed in about half of its runs.

--- a/crates/kernel/tests/path.rs
+++ b/crates/kernel/tests/path.rs
@@ -168,9 +168,9 @@
     let mut paths = paths("host-1");
     record_losses(&mut paths, NOW);
     let engines = spread_entries(18);
-    let mut plain = Pool::new(Speed::new(profile()), domain(0), OWN);
-    plain.set_engines(engines.iter());
-    let capacity = (0..200).take_while(|_| start(&mut plain, short(NOW), NOW).is_some());
+    let mut unsampled = Pool::new(Speed::new(profile()), domain(0), OWN);
+    unsampled.set_engines(engines.iter());
+    let capacity = (0..200).take_while(|_| start(&mut unsampled, short(NOW), NOW).is_some());
     let capacity = capacity.count();
     let mut pool = spread_pool(paths, &engines);
     let mut remote = 0_usize;
@@ -270,7 +270,8 @@
     pool.release(id);
     let mut by_order: Vec<_> = engines.iter().map(Entry::identity).collect();
     by_order.sort_by_key(|identity| identity.0 % 1_000);
-    assert_eq!(first.primary, by_order[0]);
+    // Two engines may have the same position in the fill order.
+    assert_eq!(first.primary.0 % 1_000, by_order[0].0 % 1_000);
     pool.set_connected([by_order[1]].into());
     let (_, plan) = start(&mut pool, short(NOW), NOW).expect("a plan");
     let gap = (by_order[1].0 % 1_000) - (by_order[0].0 % 1_000);
