--- a/crates/relay/src/placer/turns.rs
+++ b/crates/relay/src/placer/turns.rs
@@ -98,14 +98,13 @@
         }
     }
 
-    /// Records when the first event of a placed request arrived.
-    pub(super) fn record_first_event(&self, placement: &Placement) {
+    /// Records that the first event of a placed request arrived `elapsed` after it was sent.
+    pub(super) fn record_cold_first_event(&self, placement: &Placement, elapsed: Duration) {
         let now = self.clock.now();
         let plan = &placement.plan;
         if let Some(queue) = self.queues.lock().get_mut(&placement.service) {
-            let observed = now.since(placement.started);
             let pool = &mut queue.pool;
-            pool.record_first_event(plan.primary, observed, plan.first_event, now);
+            pool.record_first_event(plan.primary, elapsed, plan.first_event, now);
         }
     }
 }
