Serve callers of a host that is cut off from all endpoints by way of other hosts

A host whose sends fail now probes one endpoint, and four more twice if it is not reached. If none is, it sends its callers' requests whole to a host that states Extension::Reaches, over TCP on the port of listen.hosts, one hop at most. Streams that break are resumed there after the last whole event. Failures from the time of the cut eject nothing and are no evidence of crashes.

--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -171,6 +171,13 @@
         stats.health.record(observation, now);
     }
 
+    /// Drops failures recorded at `since` or later, which were due to this host's own link.
+    pub fn forgive(&mut self, since: Instant) {
+        for stats in self.endpoints.values_mut() {
+            stats.health.forgive(since);
+        }
+    }
+
     /// Removes endpoints for which `keep` returns false and that have no running requests.
     pub fn retain(&mut self, keep: impl Fn(Identity) -> bool) {
         self.endpoints
--- a/crates/kernel/src/contact.rs
+++ b/crates/kernel/src/contact.rs
@@ -1,7 +1,7 @@
 //! The other hosts that exchange placements with this one, and when each was last heard.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::clock::Instant;
@@ -113,6 +113,20 @@
         live.map(|(host, contact)| (host, contact.address))
     }
 
+    /// Returns the hosts that were heard recently, with their incarnations and failure domains.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Host, u64, Option<&Domain>)> {
+        let hosts = self.hosts.iter();
+        let recent = hosts.filter(move |(_, contact)| now.since(contact.last_seen) <= TIMEOUT);
+        recent.filter_map(|(host, contact)| Some((host, contact.holder?, contact.domain.as_ref())))
+    }
+
+    /// Whether an announced host has this IP address.
+    #[must_use]
+    pub fn has_address(&self, address: IpAddr) -> bool {
+        let mut announced = self.hosts.values().filter(|host| host.domain.is_some());
+        announced.any(|host| host.address.ip().to_canonical() == address.to_canonical())
+    }
+
     /// Returns the address of a host.
     #[must_use]
     pub fn address(&self, host: &Host) -> Option<SocketAddr> {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod contact;
 pub mod cost;
 pub mod deferred;
+pub mod detour;
 pub mod event;
 pub mod fingerprint;
 pub mod fleet;
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Ends ejections that began at `since` or later, and drops observations from then on.
+    pub fn forgive(&mut self, since: Instant) {
+        for observed in self.unresponsive.values_mut() {
+            observed.retain(|(_, at)| *at < since);
+        }
+        self.ejected
+            .retain(|_, until| *until < since + DOMAIN_EJECTION);
+    }
+
     /// Returns whether the domain is ejected at `now`.
     #[must_use]
     pub fn is_ejected(&self, domain: &Domain, now: Instant) -> bool {
@@ -85,6 +94,8 @@
     failures: u32,
     unresponsive: bool,
     ejected_until: Option<Instant>,
+    /// Time of the last failure.
+    failed_at: Option<Instant>,
     /// End of the time for which the endpoint wants no requests from this host.
     backoff_until: Option<Instant>,
 }
@@ -92,6 +103,9 @@
 impl Health {
     /// Records the result of a request.
     pub fn record(&mut self, observation: Observation, now: Instant) {
+        if observation != Observation::Succeeded {
+            self.failed_at = Some(now);
+        }
         match observation {
             Observation::Succeeded => self.record_success(),
             Observation::Failed => self.record_failure(now),
@@ -108,6 +122,13 @@
         };
     }
 
+    /// Resets the failure count and ends an ejection if the last failure was at `since` or later.
+    pub fn forgive(&mut self, since: Instant) {
+        if self.failed_at.is_some_and(|at| at >= since) {
+            self.record_success();
+        }
+    }
+
     /// Records that the endpoint wants no requests for `time`.
     pub fn back_off(&mut self, time: Duration, now: Instant) {
         self.backoff_until = self.backoff_until.max(Some(now + time));
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Drops failures recorded at `since` or later, which were due to this host's own link.
+    pub fn forgive(&mut self, since: Instant) {
+        for engine in self.engines.values_mut() {
+            engine.health.forgive(since);
+        }
+        self.domain_health.forgive(since);
+    }
+
     /// Records that an engine wants no requests for `time`; returns whether the engine is known.
     pub fn back_off(&mut self, identity: Identity, time: Duration, now: Instant) -> bool {
         let engine = self.engines.get_mut(&identity);
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -105,6 +105,15 @@
     /// Builds the end-to-end headers of a forwarded request from the client's headers.
     fn build_headers(&self, headers: &HeaderMap, forwarding: &Forwarding<'_>) -> HeaderMap;
 
+    /// Sets the time left until the client gives up, and the event after which a resumed stream
+    /// continues, in a client's headers.
+    fn set_progress(
+        &self,
+        headers: &mut HeaderMap,
+        remaining: Duration,
+        resume_after: Option<&str>,
+    );
+
     /// Classifies the response to the attempt `id` by its status and headers.
     fn classify_response(
         &self,
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -22,6 +22,8 @@
     Quarantined(Duration),
     /// The deadline of the request has passed.
     Expired,
+    /// This host reaches no endpoint, and no other host serves its requests.
+    CutOff,
     /// No further attempt is allowed, or no endpoint is left to try.
     Exhausted,
 }
@@ -36,19 +38,22 @@
                 "endpoints crashed on this request or a part of this prompt: change it, or come back later"
             }
             Self::Expired => "the request's time has passed",
+            Self::CutOff => "no endpoint can be reached: come back shortly",
             Self::Exhausted => "every allowed attempt failed",
         }
     }
 }
 
 /// Tracks the attempts of one request and the endpoints excluded from further attempts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Attempts {
     repeatable: bool,
     runs_left: u32,
     rejections_left: u32,
     sent: u32,
     maybe_ran: bool,
+    /// Whether the request has been added to a retry budget.
+    counted: bool,
     excluded: Vec<Identity>,
 }
 
@@ -62,10 +67,31 @@
             rejections_left: MAX_REJECTIONS,
             sent: 0,
             maybe_ran: false,
+            counted: true,
             excluded: Vec::new(),
         }
     }
 
+    /// Creates a tracker for a request that no retry budget has counted yet.
+    #[must_use]
+    pub fn uncounted(route: &Route) -> Self {
+        Self {
+            counted: false,
+            ..Self::new(route)
+        }
+    }
+
+    /// Whether a retry budget has counted the request.
+    #[must_use]
+    pub const fn is_counted(&self) -> bool {
+        self.counted
+    }
+
+    /// Records that another host has read the request and counted it in its retry budget.
+    pub const fn record_counted(&mut self) {
+        self.counted = true;
+    }
+
     /// Endpoints that are not tried again.
     #[must_use]
     pub fn excluded(&self) -> &[Identity] {
@@ -116,6 +142,30 @@
         self.record_rejected(endpoint);
     }
 
+    /// Whether another host may run the request.
+    #[must_use]
+    pub const fn may_run_elsewhere(&self) -> bool {
+        self.repeatable || !self.maybe_ran
+    }
+
+    /// Whether the request may run more than once.
+    #[must_use]
+    pub const fn may_repeat(&self) -> bool {
+        self.repeatable
+    }
+
+    /// Whether the request may have run.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        self.maybe_ran
+    }
+
+    /// Records that another host may have run the request.
+    pub const fn record_detour(&mut self) {
+        self.maybe_ran = true;
+        self.sent += 1;
+    }
+
     /// Disallows further attempts.
     pub const fn exhaust(&mut self) {
         self.runs_left = 0;
--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -50,6 +50,10 @@
     }
     let endpoint = run.endpoint.identity();
     let in_use = pipeline.registry.endpoint(&accepted.service, endpoint);
+    // On a host that reaches no endpoint at all, each of them looks as if it had crashed.
+    if pipeline.links.is_cut() || !pipeline.links.reaches_other(run.endpoint.address).await {
+        return false;
+    }
     if in_use.is_some() {
         let crashed = Crashed {
             endpoint,
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,13 +1,14 @@
 //! Exchanges placements with the other hosts over UDP.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use kernel::catalogue::Identity;
 use kernel::contact::{Contacts, Heard};
+use kernel::detour::Candidate;
 use kernel::fleet::Fleet;
 use kernel::name::Host;
 use kernel::turn;
@@ -159,6 +160,30 @@
         live.count() + 1
     }
 
+    /// Returns the hosts that are heard and may serve requests of this one.
+    pub fn candidates(&self) -> impl Iterator<Item = Candidate> {
+        let contacts = self.contacts.lock();
+        let live = contacts.live(self.clock.now());
+        let candidates = live.map(|(host, holder, domain)| Candidate {
+            host: host.clone(),
+            holder,
+            is_near: domain == Some(&self.location.domain),
+        });
+        candidates.collect::<Vec<_>>().into_iter()
+    }
+
+    /// Whether a connection from `address` is one of a known host.
+    #[must_use]
+    pub fn has_address(&self, address: IpAddr) -> bool {
+        self.contacts.lock().has_address(address)
+    }
+
+    /// Returns the address of a host, for datagrams and for connections.
+    #[must_use]
+    pub fn address(&self, host: &Host) -> Option<SocketAddr> {
+        self.contacts.lock().address(host)
+    }
+
     /// Reports a read of the store to the other hosts of the failure domain.
     pub async fn report(&self, read: Read) {
         let addresses: Vec<_> = {
--- /dev/null
+++ b/crates/relay/src/link.rs
@@ -0,0 +1,273 @@
+//! Watches whether this host reaches the endpoints, and knows which other hosts do.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use kernel::balance::Balancer;
+use kernel::clock::Instant;
+use kernel::detour::{self, Finding, Peers};
+use kernel::name::Host;
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{Notify, watch};
+use tokio::time::{sleep, timeout};
+use wire::extension::Extension;
+
+use crate::clock::Clock;
+use crate::hosts::{Exchange, Hosts, Sender};
+use crate::observe;
+use crate::placer::Placer;
+use crate::registry::Registry;
+use crate::transport::{Dialer, Reachability};
+
+/// Time for which each snapshot repeats a changed statement. Four snapshots may be lost in a row.
+const REPEATED: Duration = Duration::from_secs(2);
+/// Time after which an unchanged statement is repeated, for hosts that have missed it.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest wait for the probes that show whether a failed send is due to this host's own link.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Whether the last probes showed that the host is cut off. Receivers are woken after each round.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    is_cut: bool,
+}
+
+/// When the statement of this host is sent.
+struct Schedule {
+    repeat_until: Instant,
+    sent_at: Option<Instant>,
+}
+
+/// The links of this host to the endpoints, and what other hosts say of theirs.
+pub struct Links {
+    clock: Clock,
+    dialer: Dialer,
+    registry: Arc<Registry>,
+    placer: Arc<Placer>,
+    balancer: Arc<Mutex<Balancer>>,
+    link: Mutex<detour::Link>,
+    state: watch::Sender<State>,
+    is_draining: AtomicBool,
+    /// Whether other hosts can connect to this one.
+    is_listening: bool,
+    suspected: Notify,
+    schedule: Mutex<Schedule>,
+    /// The other hosts that serve requests of this one.
+    pub peers: Mutex<Peers>,
+}
+
+impl Exchange for Links {
+    fn apply(&self, sender: Sender<'_>, extension: &Extension) {
+        let Extension::Reaches(reaches) = extension else {
+            return;
+        };
+        let mut peers = self.peers.lock();
+        if peers.record_statement(sender.host, sender.holder, *reaches) {
+            // A host that has just started may not know the statement of this one.
+            self.schedule.lock().repeat_until = self.clock.now() + REPEATED;
+        }
+    }
+
+    fn repeated(&self) -> Vec<Extension> {
+        let now = self.clock.now();
+        let mut schedule = self.schedule.lock();
+        let missed = |sent_at| now.since(sent_at) >= REFRESH_INTERVAL;
+        if now >= schedule.repeat_until && !schedule.sent_at.is_none_or(missed) {
+            return Vec::new();
+        }
+        schedule.sent_at = Some(now);
+        vec![self.statement()]
+    }
+}
+
+impl Links {
+    /// Creates an instance that takes the endpoints as reached. With `is_listening`, other hosts can
+    /// connect to this one.
+    #[must_use]
+    pub fn shared(
+        dialer: &Dialer,
+        registry: &Arc<Registry>,
+        placer: &Arc<Placer>,
+        balancer: &Arc<Mutex<Balancer>>,
+        clock: Clock,
+        is_listening: bool,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            dialer: dialer.clone(),
+            registry: Arc::clone(registry),
+            placer: Arc::clone(placer),
+            balancer: Arc::clone(balancer),
+            link: Mutex::default(),
+            state: watch::Sender::default(),
+            is_draining: AtomicBool::new(false),
+            is_listening,
+            suspected: Notify::new(),
+            schedule: Mutex::new(Schedule {
+                repeat_until: clock.now() + REPEATED,
+                sent_at: None,
+            }),
+            peers: Mutex::default(),
+        })
+    }
+
+    /// Whether this host is cut off from all endpoints.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        self.state.borrow().is_cut
+    }
+
+    /// Whether a new request goes to another host, because this one is cut off or was until
+    /// recently.
+    #[must_use]
+    pub fn is_avoided(&self) -> bool {
+        let draw = SmallRng::from_os_rng().random();
+        let now = self.clock.now();
+        self.link.lock().is_avoided(draw, now)
+    }
+
+    /// Returns when this host is cut off from all endpoints.
+    pub async fn wait_until_cut(&self) {
+        let mut state = self.state.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = state.wait_for(|state| state.is_cut).await;
+    }
+
+    /// Returns whether this host is cut off. If sends have failed since the last probes, waits for
+    /// the next ones.
+    pub async fn confirm_cut(&self) -> bool {
+        let mut state = self.state.subscribe();
+        let known = state.wait_for(|state| state.is_cut || !self.link.lock().is_suspected());
+        matches!(timeout(VERDICT_TIMEOUT, known).await, Ok(Ok(state)) if state.is_cut)
+    }
+
+    /// Records that an endpoint could not be reached or fell silent, which may be due to this host's
+    /// own link.
+    pub fn suspect(&self) {
+        let now = self.clock.now();
+        self.link.lock().record_failure(now);
+        self.suspected.notify_one();
+    }
+
+    /// Whether this host reaches an endpoint other than the one at `except`, or there is none.
+    pub async fn reaches_other(&self, except: SocketAddr) -> bool {
+        for size in [1, detour::ROUND] {
+            let (reached, probed) = self.probe(size, Some(except)).await;
+            if reached > 0 || probed == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Probes endpoints when requests fail, and while the host is cut off. Never returns.
+    pub async fn watch(self: Arc<Self>, hosts: Arc<Hosts>) {
+        loop {
+            if !self.is_cut() {
+                self.suspected.notified().await;
+            }
+            while self.run_round(&hosts).await {}
+            let interval = self.link.lock().interval();
+            sleep(interval).await;
+        }
+    }
+
+    /// Probes endpoints once; returns whether another round is needed at once.
+    async fn run_round(&self, hosts: &Hosts) -> bool {
+        let size = self.link.lock().round_size();
+        let (reached, probed) = self.probe(size, None).await;
+        observe::count_probes(probed);
+        let now = self.clock.now();
+        let finding = self.link.lock().record_round(reached, probed, now);
+        let (event, is_cut) = match finding {
+            Finding::Unclear => return true,
+            Finding::Unchanged => {
+                self.state.send_modify(|_| {});
+                return false;
+            }
+            Finding::Lost(since) => {
+                // Failures of the own link say nothing about the endpoints.
+                self.balancer.lock().forgive(since);
+                self.placer.forgive(since);
+                ("links_lost", true)
+            }
+            Finding::Restored => ("links_restored", false),
+        };
+        log::warn!("event={event} reached={reached} probed={probed}");
+        observe::set_gauge("filbertstage_cut_off", u64::from(is_cut));
+        self.state.send_replace(State { is_cut });
+        self.announce(hosts);
+        false
+    }
+
+    /// Probes up to `size` endpoints at the same time; returns how many were reached, and how many
+    /// probed.
+    async fn probe(&self, size: usize, except: Option<SocketAddr>) -> (usize, usize) {
+        let addresses = self.choose(size, except);
+        let probes = addresses.iter().map(|address| self.dialer.probe(*address));
+        let results = join_all(probes).await;
+        let accepts = |result: &&Reachability| **result == Reachability::Accepts;
+        (results.iter().filter(accepts).count(), results.len())
+    }
+
+    /// Chooses endpoints at random, from as many failure domains as possible.
+    fn choose(&self, size: usize, except: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let mut endpoints: Vec<_> = self.registry.with_directory(|directory| {
+            let entries = directory.entries();
+            let others = entries.filter(|entry| Some(entry.address) != except);
+            others
+                .map(|entry| (entry.domain.clone(), entry.address))
+                .collect()
+        });
+        endpoints.shuffle(&mut SmallRng::from_os_rng());
+        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+        let mut ranked: Vec<_> = endpoints
+            .into_iter()
+            .map(|(domain, address)| {
+                let count = counts.entry(domain).or_default();
+                *count += 1;
+                (*count, address)
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let chosen = ranked.into_iter().take(size);
+        chosen.map(|(_, address)| address).collect()
+    }
+
+    /// Tells the other hosts that this one leaves and serves no more requests of theirs.
+    pub fn drain(&self, hosts: &Hosts) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.announce(hosts);
+    }
+
+    fn announce(&self, hosts: &Hosts) {
+        self.schedule.lock().repeat_until = self.clock.now() + REPEATED;
+        hosts.publish([self.statement()]);
+    }
+
+    /// Returns what this host states: whether it reaches endpoints and serves other hosts.
+    fn statement(&self) -> Extension {
+        let is_draining = self.is_draining.load(Ordering::SeqCst);
+        Extension::Reaches(self.is_listening && !self.is_cut() && !is_draining)
+    }
+
+    /// Returns a host that serves a request, other than those in `excluded`.
+    #[must_use]
+    pub fn pick(
+        &self,
+        candidates: impl Iterator<Item = detour::Candidate>,
+        excluded: &[Host],
+    ) -> Option<Host> {
+        let mut rng = SmallRng::from_os_rng();
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        peers.pick(candidates, excluded, || rng.random(), now)
+    }
+}
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -53,6 +53,17 @@
     metrics::counter!("filbertstage_quarantine_total", "event" => event).increment(1);
 }
 
+/// Counts a request that is sent to another host because this one reaches no endpoints.
+pub(crate) fn count_detour(outcome: &'static str) {
+    metrics::counter!("filbertstage_detours_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts connections that were opened to test whether this host reaches endpoints.
+pub(crate) fn count_probes(probes: usize) {
+    let probes = u64::try_from(probes).unwrap_or(u64::MAX);
+    metrics::counter!("filbertstage_link_probes_total").increment(probes);
+}
+
 /// Counts a return of the store from an older copy, as seen by the reader of a topic.
 pub(crate) fn count_restore(topic: &'static str) {
     metrics::counter!("filbertstage_store_restores_total", "topic" => topic).increment(1);
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::HeaderValue;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -11,7 +12,7 @@
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
 use kernel::fingerprint::Fingerprint;
-use kernel::name::{Domain, Service, Workspace};
+use kernel::name::{Domain, Host, Service, Workspace};
 use kernel::quarantine::Suspect;
 use kernel::segment;
 use parking_lot::Mutex;
@@ -24,12 +25,14 @@
 use crate::clock::Clock;
 use crate::fingerprint::Hasher;
 use crate::headers::{encoded_len, end_to_end, error_response};
+use crate::hosts::Hosts;
+use crate::link::Links;
 use crate::notice::Notices;
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
 use crate::transport::Dialer;
-use crate::{observe, plain, stream};
+use crate::{detour, observe, plain, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -48,6 +51,10 @@
     pub balancer: Arc<Mutex<Balancer>>,
     /// Applies what endpoints announce about themselves.
     pub notices: Arc<Notices>,
+    /// This host's links to the endpoints.
+    pub links: Arc<Links>,
+    /// The other hosts.
+    pub hosts: Arc<Hosts>,
     /// Requests that crash endpoints.
     pub quarantine: Arc<Quarantine>,
     /// Retry budgets of the services.
@@ -74,6 +81,60 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
+    /// Sends a client's request to another host if this one is cut off from the endpoints, or refuses
+    /// it if no other host serves it. Returns `None` if this host is to try the endpoints itself.
+    pub(crate) async fn detour(
+        self: &Arc<Self>,
+        accepted: &Accepted,
+        attempts: &mut Attempts,
+    ) -> Option<Response<Body>> {
+        if !self.may_detour(accepted) {
+            return None;
+        }
+        if let Some(response) = detour::run(self, accepted, attempts).await {
+            return Some(response);
+        }
+        let give_up = GiveUp::CutOff;
+        accepted.log_give_up(attempts, give_up, self.clock.now());
+        Some(attempts.final_response(give_up))
+    }
+
+    /// Like [`Pipeline::detour`], for a request whose sends have failed. They may have failed before
+    /// it was known that this host is cut off.
+    pub(crate) async fn detour_at_end(
+        self: &Arc<Self>,
+        accepted: &Accepted,
+        attempts: &mut Attempts,
+    ) -> Option<Response<Body>> {
+        if self.confirm_cut(accepted).await {
+            self.detour(accepted, attempts).await
+        } else {
+            None
+        }
+    }
+
+    /// Whether a request whose sends have failed may go to another host.
+    pub(crate) async fn confirm_cut(&self, accepted: &Accepted) -> bool {
+        self.has_way_around(accepted) && self.links.confirm_cut().await
+    }
+
+    /// Whether a request is a client's and this host is cut off from the endpoints. If no other host
+    /// has stated whether it reaches endpoints, there is no way around and this host tries its own.
+    pub(crate) fn may_detour(&self, accepted: &Accepted) -> bool {
+        self.links.is_cut() && self.has_way_around(accepted)
+    }
+
+    fn has_way_around(&self, accepted: &Accepted) -> bool {
+        let candidates = self.hosts.candidates();
+        accepted.origin == Origin::Client && self.links.peers.lock().has_statement(candidates)
+    }
+
+    /// Records that another host could not be reached or broke a request off.
+    pub(crate) fn record_peer_failure(&self, host: &Host) {
+        let now = self.clock.now();
+        self.links.peers.lock().record_failure(host, now);
+    }
+
     /// Decides whether a request may be sent, or sent once more after an endpoint crashed on it.
     pub(crate) async fn admit(&self, accepted: &Accepted) -> Result<Admission, GiveUp> {
         let endpoints = self.registry.count_ready(&accepted.service).max(1);
@@ -90,8 +151,21 @@
     }
 }
 
+/// Who sent a request to this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A client.
+    Client,
+    /// Another host, which is cut off from the endpoints.
+    Host,
+}
+
 /// A request that was read, routed and admitted.
+#[derive(Clone)]
 pub(crate) struct Accepted {
+    pub origin: Origin,
+    /// Whether another host has counted the request in its retry budget.
+    pub is_counted: bool,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -166,12 +240,37 @@
         *request.headers_mut() = dialect.build_headers(&self.headers, forwarding);
         request
     }
+
+    /// Builds the request that is sent to another host: the client's own, with the time that is left
+    /// and the event after which a resumed stream continues.
+    pub fn detoured(
+        &self,
+        dialect: &dyn Dialect,
+        remaining: Duration,
+        resume_after: Option<&str>,
+        is_counted: bool,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        dialect.set_progress(request.headers_mut(), remaining, resume_after);
+        if is_counted {
+            let value = HeaderValue::from_static("1");
+            request.headers_mut().insert(detour::COUNTED, value);
+        }
+        request
+    }
 }
 
-/// Handles one client request and returns its response.
-pub async fn handle(pipeline: Arc<Pipeline>, request: Request<Incoming>) -> Response<Body> {
+/// Handles one request and returns its response.
+pub async fn handle(
+    pipeline: Arc<Pipeline>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Response<Body> {
     let arrived = pipeline.clock.now();
-    match accept(&pipeline, request, arrived).await {
+    match accept(&pipeline, request, origin, arrived).await {
         Err(response) => {
             observe::count_request(None, response.status());
             response
@@ -186,7 +285,19 @@
 }
 
 async fn serve(pipeline: Arc<Pipeline>, accepted: Accepted) -> Response<Body> {
-    pipeline.budgets.deposit(&accepted.service);
+    let mut attempts = Attempts::uncounted(&accepted.route);
+    if let Some(response) = pipeline.detour(&accepted, &mut attempts).await {
+        return response;
+    }
+    if accepted.origin == Origin::Client
+        && pipeline.links.is_avoided()
+        && let Some(response) = detour::run(&pipeline, &accepted, &mut attempts).await
+    {
+        return response;
+    }
+    if !accepted.is_counted && !attempts.is_counted() {
+        pipeline.budgets.deposit(&accepted.service);
+    }
     let engine = pipeline
         .registry
         .configuration()
@@ -205,9 +316,11 @@
 async fn accept(
     pipeline: &Pipeline,
     request: Request<Incoming>,
+    origin: Origin,
     arrived: Instant,
 ) -> Result<Accepted, Response<Body>> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let is_counted = head.headers.remove(detour::COUNTED).is_some() && origin == Origin::Host;
     let metadata = pipeline.dialect.parse_request(&head.headers);
     let reject = |status, retry_after, reason| refuse(&metadata, status, retry_after, reason);
     let Some(configuration) = pipeline.registry.configuration() else {
@@ -246,6 +359,8 @@
     let segments = metadata.segments.iter().copied().map(Suspect::Segment);
     let request = Suspect::Request(fingerprint);
     Ok(Accepted {
+        origin,
+        is_counted,
         suspects: segments.chain([request]).collect(),
         fingerprint,
         method: head.method,
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -306,6 +306,13 @@
         }
     }
 
+    /// Drops failures recorded at `since` or later, which were due to this host's own link.
+    pub fn forgive(&self, since: Instant) {
+        for queue in self.queues.lock().values_mut() {
+            queue.pool.forgive(since);
+        }
+    }
+
     fn finish_prefill(&self, service: &Service, id: LoadId) {
         let now = self.clock.now();
         if let Some(queue) = self.queues.lock().get_mut(service) {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,5 +1,8 @@
 //! Forwards calls to plain services, which return one complete response.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use http::{Response, StatusCode, response};
 use kernel::catalogue::{Entry, Identity};
 use kernel::clock::Instant;
@@ -18,7 +21,7 @@
 use crate::transport::Failure;
 
 /// Maximum response size of a plain service, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Attempt timeout of a call that may be retried, as a multiple of the route's objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 4;
 
@@ -27,6 +30,9 @@
 /// Logged reason for a response without the endpoint's signature.
 pub(crate) const UNSIGNED_RESPONSE: &str = "the response is not signed by the endpoint";
 
+/// Logged reason for a request whose time ended before its connection was open.
+pub(crate) const NO_CONNECTION: &str = "no connection before the end of the request's time";
+
 /// Counts a call as running at an endpoint until it is dropped.
 struct ActiveCall<'a> {
     pipeline: &'a Pipeline,
@@ -64,7 +70,7 @@
 }
 
 /// Sends the call to an endpoint, and retries at others where the route allows it.
-pub(crate) async fn run(pipeline: &Pipeline, accepted: &Accepted) -> Response<Body> {
+pub(crate) async fn run(pipeline: &Arc<Pipeline>, accepted: &Accepted) -> Response<Body> {
     let mut attempts = Attempts::new(&accepted.route);
     let mut last_failure = None;
     let mut admitted = pipeline.admit(accepted).await;
@@ -72,6 +78,9 @@
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
+        if let Some(response) = pipeline.detour(accepted, &mut attempts).await {
+            return response;
+        }
         let admission = match admitted {
             Ok(admission) => admission,
             Err(give_up) => break give_up,
@@ -116,6 +125,12 @@
             break GiveUp::Exhausted;
         }
     };
+    if last_failure.is_none()
+        && give_up == GiveUp::Exhausted
+        && let Some(response) = pipeline.detour_at_end(accepted, &mut attempts).await
+    {
+        return response;
+    }
     accepted.log_give_up(&attempts, give_up, pipeline.clock.now());
     match last_failure {
         Some((head, body)) => build_response(&head, body),
@@ -137,7 +152,7 @@
         answering: None,
     };
     let crashed = broken::examine(pipeline, accepted, &run).await;
-    if crashed {
+    if crashed && !pipeline.links.is_cut() {
         let now = pipeline.clock.now();
         let mut balancer = pipeline.balancer.lock();
         balancer.record(entry.identity(), Observation::Gone, now);
@@ -182,8 +197,12 @@
     } else {
         remaining
     };
+    let is_sent = AtomicBool::new(false);
     let exchange = async {
-        let exchange = pipeline.dialer.send(entry.address, request).await?;
+        let sending = pipeline
+            .dialer
+            .send_tracked(entry.address, request, &is_sent);
+        let exchange = sending.await?;
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
         pipeline.handle_notice(entry, head, sent_at);
@@ -204,6 +223,9 @@
         Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(Observation::Unresponsive, reason),
         Ok(Err(Failure::Refused(reason))) => Outcome::Unsent(Observation::Gone, reason),
         Ok(Err(Failure::Uncertain(reason))) => Outcome::Broken(reason),
+        Err(_) if !is_sent.load(Ordering::Relaxed) => {
+            Outcome::Unsent(Observation::Unresponsive, NO_CONNECTION.to_owned())
+        }
         Err(_) => {
             pipeline.dialer.close_idle(entry.address);
             Outcome::Uncertain("no answer in time".to_owned())
@@ -224,7 +246,20 @@
 /// Records the outcome for the endpoint's health, and logs every outcome but a response.
 fn record_outcome(pipeline: &Pipeline, accepted: &Accepted, entry: &Entry, result: &Outcome) {
     let now = pipeline.clock.now();
-    let record = |seen| pipeline.balancer.lock().record(entry.identity(), seen, now);
+    if matches!(
+        result,
+        Outcome::Unsent(..) | Outcome::Broken(_) | Outcome::Uncertain(_)
+    ) {
+        pipeline.links.suspect();
+    }
+    let is_cut = pipeline.links.is_cut();
+    let record = |seen| {
+        // Failures of a host without links say nothing about the endpoint.
+        if !is_cut || seen == Observation::Succeeded {
+            let mut balancer = pipeline.balancer.lock();
+            balancer.record(entry.identity(), seen, now);
+        }
+    };
     let (outcome, reason) = match result {
         Outcome::Response(..) => return record(Observation::Succeeded),
         Outcome::Failed(head, _) => {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,10 +24,11 @@
 use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::follow::{Follower, PeerVersion};
-use crate::hosts::{Hosts, Tables};
+use crate::hosts::{Exchange, Hosts, Tables};
+use crate::link::Links;
 use crate::notice::Notices;
 use crate::observe;
-use crate::pipeline::Pipeline;
+use crate::pipeline::{Origin, Pipeline};
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
@@ -63,6 +64,8 @@
 pub struct Relay {
     registry: Arc<Registry>,
     quarantine: Arc<Quarantine>,
+    links: Arc<Links>,
+    hosts: Arc<Hosts>,
     server: Arc<Server>,
     draining: Arc<AtomicBool>,
     client_address: SocketAddr,
@@ -77,6 +80,7 @@
     /// # Errors
     ///
     /// Returns the I/O error of an address that cannot be bound.
+    #[allow(clippy::too_many_lines)]
     pub async fn start(
         settings: &Settings,
         dependencies: Dependencies,
@@ -86,6 +90,7 @@
             clients,
             readiness,
             socket,
+            hosts: peers,
             metrics,
         } = Listeners::bind(&settings.listen).await?;
         let address = clients.local_addr()?;
@@ -98,30 +103,47 @@
         let registry = Arc::new(Registry::new(settings.times.registration_ttl()));
         let placer = Arc::new(Placer::new(clock, domain.clone(), holder));
         let balancer = Arc::new(Mutex::new(Balancer::default()));
-        let notices = Notices::new(&registry, &placer, &balancer, clock);
-        let notices = Arc::new(notices);
-        let own = Host::from(settings.host.as_str());
+        let notices = Arc::new(Notices::new(&registry, &placer, &balancer, clock));
         let fleet = Arc::new(Mutex::new(new_fleet(settings, holder, clock)));
         let peer_version = Arc::new(PeerVersion::default());
         let location = Location {
             address: socket.local_addr()?,
             domain: domain.clone(),
         };
-        let synced = settings.start() == Start::First;
-        let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
+        let quarantine = Arc::new(Quarantine::new(
+            clock,
+            holder,
+            settings.start() == Start::First,
+        ));
+        let links = Links::shared(
+            &dialer,
+            &registry,
+            &placer,
+            &balancer,
+            clock,
+            peers.is_some(),
+        );
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
             peer_version: Arc::clone(&peer_version),
             quarantine: Arc::clone(&quarantine),
-            exchanges: Vec::new(),
+            exchanges: vec![Arc::clone(&links) as Arc<dyn Exchange>],
         };
-        let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
+        let hosts = Arc::new(Hosts::new(
+            settings.host.as_str().into(),
+            holder,
+            location,
+            socket,
+            tables,
+        ));
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
             balancer,
             notices,
+            links: Arc::clone(&links),
+            hosts: Arc::clone(&hosts),
             quarantine: Arc::clone(&quarantine),
             budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
@@ -151,10 +173,11 @@
         tasks.spawn(Arc::clone(&follower).follow_endpoints());
         tasks.spawn(follower.follow_hosts());
         tasks.spawn(Arc::clone(&hosts).send());
-        tasks.spawn(hosts.receive());
+        tasks.spawn(Arc::clone(&hosts).receive());
         tasks.spawn(assign_periodically(placer));
         tasks.spawn(sweep_periodically(pipeline));
-        tasks.spawn(Arc::clone(&server).accept(clients));
+        tasks.spawn(Arc::clone(&links).watch(Arc::clone(&hosts)));
+        spawn_servers(&mut tasks, &server, clients, peers);
         let admin = Admin {
             registry: Arc::clone(&registry),
             quarantine: Arc::clone(&quarantine),
@@ -170,6 +193,8 @@
         Ok(Self {
             registry,
             quarantine,
+            links,
+            hosts,
             server,
             draining,
             client_address: address,
@@ -207,6 +232,7 @@
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.server.running());
         self.draining.store(true, Ordering::SeqCst);
+        self.links.drain(&self.hosts);
         self.server.enter(Stage::Draining);
         let drained = timeout(self.grace.saturating_sub(EXIT_MARGIN), async {
             sleep(DEREGISTRATION_DELAY).await;
@@ -234,22 +260,51 @@
 struct Listeners {
     clients: TcpListener,
     readiness: TcpListener,
+    /// Datagrams of other hosts.
     socket: Arc<UdpSocket>,
+    /// Connections of other hosts, on the same port; `None` if another program has it.
+    hosts: Option<TcpListener>,
     metrics: Option<TcpListener>,
 }
 
 impl Listeners {
     async fn bind(listen: &Listen) -> io::Result<Self> {
+        let (hosts, socket) = Self::bind_hosts(listen.hosts).await?;
         Ok(Self {
             clients: TcpListener::bind(listen.clients).await?,
             readiness: TcpListener::bind(listen.readiness).await?,
-            socket: Arc::new(UdpSocket::bind(listen.hosts).await?),
+            socket: Arc::new(socket),
+            hosts,
             metrics: match listen.metrics {
                 Some(address) => Some(TcpListener::bind(address).await?),
                 None => None,
             },
         })
     }
+
+    /// Binds a port for connections and datagrams of other hosts. If any port will do, one that is
+    /// free for both is searched.
+    async fn bind_hosts(address: SocketAddr) -> io::Result<(Option<TcpListener>, UdpSocket)> {
+        /// Number of ports to try.
+        const MAX_PORTS: usize = 16;
+        if address.port() != 0 {
+            let listener = TcpListener::bind(address).await;
+            let listener = listener.inspect_err(|error| {
+                log::error!("event=no_detours address={address} error=\"{error}\"");
+            });
+            return Ok((listener.ok(), UdpSocket::bind(address).await?));
+        }
+        let mut tried = 0;
+        loop {
+            let listener = TcpListener::bind(address).await?;
+            tried += 1;
+            match UdpSocket::bind(listener.local_addr()?).await {
+                Ok(socket) => return Ok((Some(listener), socket)),
+                Err(_) if tried < MAX_PORTS => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
 }
 
 /// What the readiness probe and the admin listener report.
@@ -290,6 +345,19 @@
     }
 }
 
+/// Spawns the listeners for clients and for other hosts.
+fn spawn_servers(
+    tasks: &mut JoinSet<()>,
+    server: &Arc<Server>,
+    clients: TcpListener,
+    peers: Option<TcpListener>,
+) {
+    tasks.spawn(Arc::clone(server).accept(clients, Origin::Client));
+    if let Some(listener) = peers {
+        tasks.spawn(Arc::clone(server).accept(listener, Origin::Host));
+    }
+}
+
 /// Spawns the listeners for readiness probes and for operators.
 fn spawn_admin(
     tasks: &mut JoinSet<()>,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use kernel::clock::Instant;
+use kernel::detour;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,7 +25,8 @@
 use crate::body::{Body, Error};
 use crate::clock::Clock;
 use crate::headers::error_response;
-use crate::pipeline::{self, Pipeline};
+use crate::observe;
+use crate::pipeline::{self, Origin, Pipeline};
 use crate::transport;
 
 /// Maximum buffer size of a client connection, in bytes. The head of a request must fit into it.
@@ -42,6 +44,8 @@
     pipeline: Arc<Pipeline>,
     clock: Clock,
     running: AtomicUsize,
+    /// Running requests of other hosts; they also count as running.
+    guests: AtomicUsize,
     stage: watch::Sender<Stage>,
 }
 
@@ -64,6 +68,9 @@
 /// connection to another host.
 const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// `Retry-After` of requests of other hosts that are refused so that those of own callers come first.
+const GUEST_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Request activity of one connection.
 struct Activity {
     running: usize,
@@ -75,22 +82,31 @@
 struct ActiveRequest {
     server: Arc<Server>,
     activity: Arc<Mutex<Activity>>,
+    origin: Origin,
 }
 
 impl ActiveRequest {
-    fn start(server: Arc<Server>, activity: Arc<Mutex<Activity>>) -> Self {
+    fn start(server: Arc<Server>, activity: Arc<Mutex<Activity>>, origin: Origin) -> Self {
+        let guests = usize::from(origin == Origin::Host);
+        server.guests.fetch_add(guests, Ordering::SeqCst);
         server.running.fetch_add(1, Ordering::SeqCst);
         {
             let mut activity = activity.lock();
             activity.running += 1;
             activity.served = true;
         }
-        Self { server, activity }
+        Self {
+            server,
+            activity,
+            origin,
+        }
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
+        let guests = usize::from(self.origin == Origin::Host);
+        self.server.guests.fetch_sub(guests, Ordering::SeqCst);
         self.server.running.fetch_sub(1, Ordering::SeqCst);
         let mut activity = self.activity.lock();
         activity.running -= 1;
@@ -132,6 +148,7 @@
             pipeline,
             clock,
             running: AtomicUsize::new(0),
+            guests: AtomicUsize::new(0),
             stage: watch::Sender::new(Stage::Serving),
         }
     }
@@ -142,17 +159,29 @@
         self.running.load(Ordering::SeqCst)
     }
 
+    /// Whether the request of another host that has just been counted may be served.
+    fn takes_guest(&self) -> bool {
+        let guests = self.guests.load(Ordering::SeqCst);
+        let own = self.running().saturating_sub(guests);
+        detour::takes_guest(guests.saturating_sub(1), own)
+    }
+
     /// Moves the server to a shutdown stage.
     pub fn enter(&self, stage: Stage) {
         self.stage.send_replace(stage);
     }
 
-    /// Accepts connections until the task is aborted.
-    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+    /// Accepts connections of clients or of other hosts until the task is aborted.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener, origin: Origin) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(Arc::clone(&self).serve(stream));
+                Ok((stream, address)) => {
+                    let hosts = &self.pipeline.hosts;
+                    if origin == Origin::Host && !hosts.has_address(address.ip()) {
+                        log::warn!("event=outsider_refused address={address}");
+                        continue;
+                    }
+                    tokio::spawn(Arc::clone(&self).serve(stream, origin));
                 }
                 Err(error) => {
                     log::warn!("event=not_accepted error=\"{error}\"");
@@ -162,7 +191,7 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: TcpStream, origin: Origin) {
         if let Err(error) = transport::configure_socket(&stream) {
             log::debug!("event=connection_lost error={error}");
             return;
@@ -175,8 +204,9 @@
         let server = Arc::clone(&self);
         let connection_activity = Arc::clone(&activity);
         let service = service_fn(move |request| {
-            let guard = ActiveRequest::start(Arc::clone(&server), Arc::clone(&connection_activity));
-            Arc::clone(&server).respond(request, guard)
+            let activity = Arc::clone(&connection_activity);
+            let guard = ActiveRequest::start(Arc::clone(&server), activity, origin);
+            Arc::clone(&server).respond(request, origin, guard)
         });
         let mut builder = Builder::new();
         builder
@@ -238,14 +268,23 @@
     async fn respond(
         self: Arc<Self>,
         request: Request<Incoming>,
+        origin: Origin,
         active: ActiveRequest,
     ) -> Result<Response<TrackedBody>, Infallible> {
         let mut response = if *self.stage.borrow() == Stage::Closing {
             let reason = "this host is shutting down: send the request to another one";
             let retry_after = Some(CLOSING_RETRY_AFTER);
             error_response(StatusCode::SERVICE_UNAVAILABLE, retry_after, reason)
+        } else if origin == Origin::Host && !self.takes_guest() {
+            observe::count_detour("declined");
+            let reason = "this host has too many requests of other hosts";
+            error_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(GUEST_RETRY_AFTER),
+                reason,
+            )
         } else {
-            pipeline::handle(Arc::clone(&self.pipeline), request).await
+            pipeline::handle(Arc::clone(&self.pipeline), request, origin).await
         };
         if *self.stage.borrow() != Stage::Serving {
             let close = HeaderValue::from_static("close");
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -1,6 +1,7 @@
 //! Relays the events of an engine's stream, and goes on at another engine where the route allows
 //! it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::broken;
+use crate::detour;
 use crate::observe;
 use crate::transport::{Exchange, Reachability};
 
@@ -104,6 +106,11 @@
             } else {
                 None
             };
+            if continued.is_none() && resumable && self.pipeline.confirm_cut(&self.accepted).await {
+                let (pipeline, accepted) = (Arc::clone(&self.pipeline), self.accepted);
+                let rest = detour::Rest::new(pipeline, accepted, self.attempts, splitter, sender);
+                return rest.run(None).await;
+            }
             let Some(next) = continued else {
                 observe::count_interrupted_stream("broken_off");
                 log::info!(
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -3,6 +3,7 @@
 mod forward;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 use crate::observe;
 use crate::pipeline::{Accepted, Pipeline};
 use crate::placer::Placement;
-use crate::plain::{MISMATCHED_RESPONSE, UNSIGNED_RESPONSE, build_response};
+use crate::plain::{MISMATCHED_RESPONSE, NO_CONNECTION, UNSIGNED_RESPONSE, build_response};
 use crate::quarantine::Admission;
 use crate::reservation::{self, Reservations};
 use crate::transport::{Exchange, Failure};
@@ -105,6 +106,15 @@
         Ok(upstream) => session.respond(upstream),
         Err(OpenError::Failed(head, body)) => build_response(&head, body),
         Err(OpenError::GiveUp(give_up)) => {
+            let (accepted, attempts) = (&session.accepted, &mut session.attempts);
+            let pipeline = &session.pipeline;
+            let detoured = match give_up {
+                GiveUp::Exhausted => pipeline.detour_at_end(accepted, attempts).await,
+                _ => None,
+            };
+            if let Some(response) = detoured {
+                return response;
+            }
             let now = session.pipeline.clock.now();
             session
                 .accepted
@@ -130,7 +140,7 @@
     async fn open(&mut self, resume_after: Option<&str>) -> Result<Upstream, OpenError> {
         let mut failure = None;
         let give_up = loop {
-            if !self.attempts.allowed() {
+            if !self.attempts.allowed() || self.may_detour() {
                 break GiveUp::Exhausted;
             }
             if std::mem::take(&mut self.engine_crashed) {
@@ -147,6 +157,7 @@
                     quarantine.log_refusal(self.accepted.id(), suspects);
                     Err(GiveUp::Quarantined(rest))
                 }
+                () = self.wait_for_detour() => Err(GiveUp::Exhausted),
                 placed = self.place() => placed,
             };
             let placement = match placed {
@@ -165,6 +176,19 @@
         })
     }
 
+    /// Whether another host may serve the request instead of this one.
+    fn may_detour(&self) -> bool {
+        self.pipeline.may_detour(&self.accepted)
+    }
+
+    /// Returns once [`Session::may_detour`], if ever.
+    async fn wait_for_detour(&self) {
+        self.pipeline.links.wait_until_cut().await;
+        if !self.may_detour() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn place(&self) -> Result<Placement, GiveUp> {
         let accepted = &self.accepted;
         let remaining = accepted.deadline.since(self.pipeline.clock.now());
@@ -245,7 +269,11 @@
         } else {
             remaining
         };
-        let sent = timeout(limit, pipeline.dialer.send(engine.address, request)).await;
+        let is_sent = AtomicBool::new(false);
+        let sending = pipeline
+            .dialer
+            .send_tracked(engine.address, request, &is_sent);
+        let sent = timeout(limit, sending).await;
         match sent {
             Ok(Ok(exchange)) => {
                 self.pipeline
@@ -275,6 +303,10 @@
                 }
                 Err(None)
             }
+            Err(_) if !is_sent.load(Ordering::Relaxed) => {
+                self.record_unsent(&engine, Observation::Unresponsive, NO_CONNECTION);
+                Err(None)
+            }
             Err(_) => {
                 pipeline.dialer.close_idle(engine.address);
                 self.record_failure(&engine, Observation::Unresponsive, "no answer in time");
@@ -354,6 +386,13 @@
     }
 
     fn record_observation(&self, engine: &Entry, observation: Observation) {
+        if observation != Observation::Succeeded {
+            self.pipeline.links.suspect();
+            if self.pipeline.links.is_cut() {
+                // Failures of a host without links say nothing about the engine.
+                return;
+            }
+        }
         let service = &self.accepted.service;
         let identity = engine.identity();
         self.pipeline
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -144,21 +145,42 @@
     ///
     /// # Errors
     ///
+    /// See [`Dialer::send_tracked`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failure> {
+        self.send_tracked(address, request, &AtomicBool::new(false))
+            .await
+    }
+
+    /// Like [`Dialer::send`]. Sets `is_sent` as soon as a part of the request may have been sent, for
+    /// callers that stop waiting.
+    ///
+    /// # Errors
+    ///
     /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise
     /// [`Failure::Uncertain`].
-    pub async fn send(
+    pub async fn send_tracked(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        is_sent: &AtomicBool,
     ) -> Result<Exchange, Failure> {
         while let Some(connection) = self.reuse_idle(address).await {
+            is_sent.store(true, Ordering::Relaxed);
             match send_on(connection, request).await {
                 Ok(exchange) => return Ok(exchange),
-                Err((Some(unsent), _)) => request = unsent,
+                Err((Some(unsent), _)) => {
+                    is_sent.store(false, Ordering::Relaxed);
+                    request = unsent;
+                }
                 Err((None, reason)) => return Err(Failure::Uncertain(reason)),
             }
         }
         let connection = self.open(address).await?;
+        is_sent.store(true, Ordering::Relaxed);
         send_on(connection, request)
             .await
             .map_err(|(unsent, reason)| match unsent {
