--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -31,7 +31,7 @@
 /// Time after which an unchanged statement is repeated, for hosts that have missed it.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest wait for the probes that show whether a failed send is due to this host's own link.
-const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Whether the last probes showed that the host is cut off. Receivers are woken after each round.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -40,7 +40,7 @@
     pub clients: SocketAddr,
     /// HTTP for the load balancer's readiness probes.
     pub readiness: SocketAddr,
-    /// UDP for other hosts.
+    /// UDP and TCP for other hosts.
     pub hosts: SocketAddr,
     /// HTTP for metrics. They are not served if this is unset.
     pub metrics: Option<SocketAddr>,
