Resume streams of engines that fell silent with the links at another host

Cause: a stream whose engine fell silent, and that no engine could continue, waited for it until the deadline, also when the host was cut off. It now goes on at another host once the probes show the cut.

Measured: the five tests of platform/tests/cut_host.rs pass; a_stream_goes_on_at_another_host::case_2 failed before.

--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -39,6 +39,8 @@
     Expired,
     /// No event arrived in time. The stream is still open.
     Unresponsive,
+    /// No event arrived in time, and no engine could take over. The stream is still open.
+    Unreplaced,
     /// The stream was interrupted or invalid, with the reason.
     Broken(String),
 }
@@ -70,7 +72,12 @@
                     Some(ended) => end = ended,
                     None => continue,
                 }
-                if matches!(end, End::Unresponsive) {
+                if matches!(end, End::Unreplaced) && self.pipeline.confirm_cut(&self.accepted).await
+                {
+                    drop(upstream);
+                    return self.continue_elsewhere(splitter, sender).await;
+                }
+                if matches!(end, End::Unresponsive | End::Unreplaced) {
                     wait_until_deadline = true;
                     continue;
                 }
@@ -87,7 +94,9 @@
                     return;
                 }
                 End::ClientDisconnected => return,
-                End::Expired | End::Unresponsive => GiveUp::Expired.as_str().to_owned(),
+                End::Expired | End::Unresponsive | End::Unreplaced => {
+                    GiveUp::Expired.as_str().to_owned()
+                }
                 End::Broken(reason) => reason,
             };
             splitter.discard_partial();
@@ -107,9 +116,7 @@
                 None
             };
             if continued.is_none() && resumable && self.pipeline.confirm_cut(&self.accepted).await {
-                let (pipeline, accepted) = (Arc::clone(&self.pipeline), self.accepted);
-                let rest = detour::Rest::new(pipeline, accepted, self.attempts, splitter, sender);
-                return rest.run(None).await;
+                return self.continue_elsewhere(splitter, sender).await;
             }
             let Some(next) = continued else {
                 observe::count_interrupted_stream("broken_off");
@@ -132,6 +139,17 @@
         }
     }
 
+    /// Relays the rest of a resumable stream from other hosts.
+    async fn continue_elsewhere(
+        self,
+        splitter: Splitter,
+        sender: mpsc::Sender<Result<Bytes, Error>>,
+    ) {
+        let pipeline = Arc::clone(&self.pipeline);
+        let rest = detour::Rest::new(pipeline, self.accepted, self.attempts, splitter, sender);
+        rest.run(None).await;
+    }
+
     /// Looks for an engine to replace an unresponsive one.
     ///
     /// The unresponsive engine's stream stays open meanwhile. An event that arrives on it is
@@ -174,7 +192,7 @@
             }
         };
         let Ok(next) = opened else {
-            return Some(End::Unresponsive);
+            return Some(End::Unreplaced);
         };
         self.log_resumed(&next, splitter);
         splitter.discard_partial();
