--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -28,10 +28,11 @@
 use crate::exchange::Exchange;
 use crate::follow::{Follower, PeerVersion};
 use crate::hosts::{Hosts, Tables};
+use crate::link::Links;
 use crate::notice::Notices;
 use crate::observe;
 use crate::path::Paths;
-use crate::pipeline::Pipeline;
+use crate::pipeline::{Origin, Pipeline};
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
@@ -67,6 +68,8 @@
 pub struct Relay {
     registry: Arc<Registry>,
     quarantine: Arc<Quarantine>,
+    links: Arc<Links>,
+    hosts: Arc<Hosts>,
     server: Arc<Server>,
     draining: Arc<AtomicBool>,
     client_address: SocketAddr,
@@ -81,6 +84,7 @@
     /// # Errors
     ///
     /// Returns the I/O error of an address that cannot be bound.
+    #[allow(clippy::too_many_lines)]
     pub async fn start(
         settings: &Settings,
         dependencies: Dependencies,
@@ -90,6 +94,7 @@
             clients,
             readiness,
             socket,
+            hosts: peers,
             metrics,
         } = Listeners::bind(&settings.listen).await?;
         let address = clients.local_addr()?;
@@ -111,11 +116,22 @@
             address: socket.local_addr()?,
             domain: domain.clone(),
         };
-        let synced = settings.start() == Start::First;
-        let quarantine = Arc::new(Quarantine::new(clock, holder, synced));
+        let quarantine = Arc::new(Quarantine::new(
+            clock,
+            holder,
+            settings.start() == Start::First,
+        ));
         let cold = cold::Tracker::new(&registry, &placer, &balancer, &fleet, clock, holder);
         let cold = Arc::new(cold);
         let evacuations = Arc::new(Evacuations::new(clock, &registry, &placer, &balancer));
+        let links = Links::shared(
+            &dialer,
+            &registry,
+            &placer,
+            &balancer,
+            clock,
+            peers.is_some(),
+        );
         let tables = Tables {
             notices: Arc::clone(&notices),
             fleet: Arc::clone(&fleet),
@@ -125,6 +141,7 @@
                 Arc::clone(&placer) as Arc<dyn Exchange>,
                 Arc::<cold::Tracker>::clone(&cold),
                 Arc::<Evacuations>::clone(&evacuations),
+                Arc::<Links>::clone(&links),
             ],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
@@ -134,6 +151,8 @@
             paths,
             balancer,
             notices,
+            links: Arc::clone(&links),
+            hosts: Arc::clone(&hosts),
             quarantine: Arc::clone(&quarantine),
             budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
@@ -166,10 +185,11 @@
         tasks.spawn(follower.follow_hosts());
         tasks.spawn(cold.refresh_periodically());
         tasks.spawn(Arc::clone(&hosts).send());
-        tasks.spawn(hosts.receive());
+        tasks.spawn(Arc::clone(&hosts).receive());
         tasks.spawn(assign_periodically(placer));
         tasks.spawn(sweep_periodically(pipeline));
-        tasks.spawn(Arc::clone(&server).accept(clients));
+        tasks.spawn(Arc::clone(&links).watch(Arc::clone(&hosts)));
+        spawn_servers(&mut tasks, &server, clients, peers);
         let admin = Admin {
             registry: Arc::clone(&registry),
             quarantine: Arc::clone(&quarantine),
@@ -186,6 +206,8 @@
         Ok(Self {
             registry,
             quarantine,
+            links,
+            hosts,
             server,
             draining,
             client_address: address,
@@ -223,6 +245,7 @@
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.server.running());
         self.draining.store(true, Ordering::SeqCst);
+        self.links.drain(&self.hosts);
         self.server.enter(Stage::Draining);
         let drained = timeout(self.grace.saturating_sub(EXIT_MARGIN), async {
             sleep(DEREGISTRATION_DELAY).await;
@@ -261,22 +284,51 @@
 struct Listeners {
     clients: TcpListener,
     readiness: TcpListener,
+    /// Datagrams of other hosts.
     socket: Arc<UdpSocket>,
+    /// Connections of other hosts, on the same port; `None` if another program has it.
+    hosts: Option<TcpListener>,
     metrics: Option<TcpListener>,
 }
 
 impl Listeners {
     async fn bind(listen: &Listen) -> io::Result<Self> {
+        let (hosts, socket) = Self::bind_hosts(listen.hosts).await?;
         Ok(Self {
             clients: TcpListener::bind(listen.clients).await?,
             readiness: TcpListener::bind(listen.readiness).await?,
-            socket: Arc::new(UdpSocket::bind(listen.hosts).await?),
+            socket: Arc::new(socket),
+            hosts,
             metrics: match listen.metrics {
                 Some(address) => Some(TcpListener::bind(address).await?),
                 None => None,
             },
         })
     }
+
+    /// Binds a port for connections and datagrams of other hosts. If any port will do, one that is
+    /// free for both is searched.
+    async fn bind_hosts(address: SocketAddr) -> io::Result<(Option<TcpListener>, UdpSocket)> {
+        /// Number of ports to try.
+        const MAX_PORTS: usize = 16;
+        if address.port() != 0 {
+            let listener = TcpListener::bind(address).await;
+            let listener = listener.inspect_err(|error| {
+                log::error!("event=no_detours address={address} error=\"{error}\"");
+            });
+            return Ok((listener.ok(), UdpSocket::bind(address).await?));
+        }
+        let mut tried = 0;
+        loop {
+            let listener = TcpListener::bind(address).await?;
+            tried += 1;
+            match UdpSocket::bind(listener.local_addr()?).await {
+                Ok(socket) => return Ok((Some(listener), socket)),
+                Err(_) if tried < MAX_PORTS => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
 }
 
 /// What the readiness probe and the admin listener report.
@@ -319,6 +371,19 @@
     }
 }
 
+/// Spawns the listeners for clients and for other hosts.
+fn spawn_servers(
+    tasks: &mut JoinSet<()>,
+    server: &Arc<Server>,
+    clients: TcpListener,
+    peers: Option<TcpListener>,
+) {
+    tasks.spawn(Arc::clone(server).accept(clients, Origin::Client));
+    if let Some(listener) = peers {
+        tasks.spawn(Arc::clone(server).accept(listener, Origin::Host));
+    }
+}
+
 /// Spawns the listeners for readiness probes and for operators.
 fn spawn_admin(
     tasks: &mut JoinSet<()>,
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -14,6 +14,7 @@
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::broken;
+use crate::detour;
 use crate::observe;
 use crate::path::Watch;
 use crate::transport::{Exchange, Reachability};
@@ -39,6 +40,8 @@
     Expired,
     /// No event arrived in time. The stream is still open.
     Unresponsive,
+    /// No event arrived in time, and no engine could take over. The stream is still open.
+    Unreplaced,
     /// The stream was interrupted or invalid, with the reason.
     Broken(String),
 }
@@ -70,7 +73,12 @@
                     Some(ended) => end = ended,
                     None => continue,
                 }
-                if matches!(end, End::Unresponsive) {
+                if matches!(end, End::Unreplaced) && self.pipeline.confirm_cut(&self.accepted).await
+                {
+                    drop(upstream);
+                    return self.continue_elsewhere(splitter, sender).await;
+                }
+                if matches!(end, End::Unresponsive | End::Unreplaced) {
                     wait_until_deadline = true;
                     continue;
                 }
@@ -87,7 +95,9 @@
                     return;
                 }
                 End::ClientDisconnected => return,
-                End::Expired | End::Unresponsive => GiveUp::Expired.as_str().to_owned(),
+                End::Expired | End::Unresponsive | End::Unreplaced => {
+                    GiveUp::Expired.as_str().to_owned()
+                }
                 End::Broken(reason) => reason,
             };
             splitter.discard_partial();
@@ -106,6 +116,9 @@
             } else {
                 None
             };
+            if continued.is_none() && resumable && self.pipeline.confirm_cut(&self.accepted).await {
+                return self.continue_elsewhere(splitter, sender).await;
+            }
             let Some(next) = continued else {
                 observe::count_interrupted_stream("broken_off");
                 log::info!(
@@ -127,6 +140,17 @@
         }
     }
 
+    /// Relays the rest of a resumable stream from other hosts.
+    async fn continue_elsewhere(
+        self,
+        splitter: Splitter,
+        sender: mpsc::Sender<Result<Bytes, Error>>,
+    ) {
+        let pipeline = Arc::clone(&self.pipeline);
+        let rest = detour::Rest::new(pipeline, self.accepted, self.attempts, splitter, sender);
+        rest.run(None).await;
+    }
+
     /// Looks for an engine to replace an unresponsive one.
     ///
     /// The unresponsive engine's stream stays open meanwhile. An event that arrives on it is
@@ -169,7 +193,7 @@
             }
         };
         let Ok(next) = opened else {
-            return Some(End::Unresponsive);
+            return Some(End::Unreplaced);
         };
         self.log_resumed(&next, splitter);
         splitter.discard_partial();
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -161,35 +162,44 @@
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent, otherwise
-    /// [`Failure::Uncertain`].
+    /// See [`Dialer::send_tracked`].
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, Failure> {
-        self.send_if(address, request, || true).await
+        self.send_if(address, request, &AtomicBool::new(false), || true)
+            .await
     }
 
     /// Like [`Dialer::send`], but sends nothing unless `allowed` returns true once there is a
     /// connection. Opening one may take longer than the notice that the peer must get nothing more.
     ///
+    /// Sets `is_sent` as soon as a part of the request may have been sent, for callers that stop
+    /// waiting.
+    ///
     /// # Errors
     ///
-    /// Also [`Failure::Withheld`] if `allowed` returns false.
+    /// [`Failure::Unsent`] or [`Failure::Refused`] if no part of the request was sent,
+    /// [`Failure::Withheld`] if `allowed` returns false, otherwise [`Failure::Uncertain`].
     pub async fn send_if(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        is_sent: &AtomicBool,
         allowed: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
         while let Some(connection) = self.reuse_idle(address).await {
             if !allowed() {
                 return Err(Failure::Withheld);
             }
+            is_sent.store(true, Ordering::Relaxed);
             match send_on(connection, request).await {
                 Ok(exchange) => return Ok(exchange),
-                Err((Some(unsent), _)) => request = unsent,
+                Err((Some(unsent), _)) => {
+                    is_sent.store(false, Ordering::Relaxed);
+                    request = unsent;
+                }
                 Err((None, reason)) => return Err(Failure::Uncertain(reason)),
             }
         }
@@ -206,6 +216,7 @@
         if !allowed() {
             return Err(Failure::Withheld);
         }
+        is_sent.store(true, Ordering::Relaxed);
         send_on(connection, request)
             .await
             .map(|exchange| Exchange {
