--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // No test file uses all of these helpers.
 #![allow(dead_code)]
 
+pub mod rush;
+
 use std::time::Duration;
 
 use filbertstage_kernel::catalogue::{Entry, Profile, State};
