Order waiting streams by what their delay costs callers

Priority alone decided who waits, whatever work a request needs and whatever it can still gain. kernel::place::value measures worth per engine time; kernel::place::queue orders, refuses and displaces by it; promise spreads the return times. On where a service's streams have several priorities, or by admission.policy.

--- a/crates/kernel/src/catalogue/configuration.rs
+++ b/crates/kernel/src/catalogue/configuration.rs
@@ -286,6 +286,17 @@
         })
     }
 
+    /// Returns the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(AsRef::as_ref)
+    }
+
+    /// Returns the workspaces; empty if no request needs a key.
+    #[must_use]
+    pub fn tenants(&self) -> &[Tenant] {
+        self.tenants.as_deref().unwrap_or_default()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::engine::{Engine, Load};
+use super::value::Origin;
 use super::speed::{Speed, as_f64, duration_from_ms};
 use crate::catalogue::Identity;
 use crate::clock::Instant;
@@ -74,6 +75,8 @@
     pub answer_started: bool,
     /// Engines that have already failed this request.
     pub excluded: Vec<Identity>,
+    /// Where the request comes from.
+    pub origin: Origin,
 }
 
 /// Part of a prompt that a helper engine prefills.
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -6,6 +6,7 @@
 use super::claim::Claims;
 use super::engine::{Engine, Load, LoadId};
 use super::plan::{Plan, Request, View, fits_in_memory, min_engines};
+use super::queue::Queue;
 use super::speed::{Speed, duration_from_ms};
 use crate::catalogue::{Entry, Identity};
 use crate::clock::Instant;
@@ -26,9 +27,9 @@
 /// because the value of a prompt grows with its length but its prefill time with the square of it.
 const PREFILL_WEIGHT: u32 = 2;
 /// Maximum retry delay sent to a refused client.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Minimum retry delay sent to a refused client.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// The time until engines are free, divided by this number, is the upper bound of the extra delay
 /// that spreads the retries of clients refused at the same time.
@@ -53,10 +54,10 @@
 }
 
 #[derive(Clone, Debug)]
-struct Waiting {
-    ticket: u64,
-    request: Request,
-    submitted: Instant,
+pub(super) struct Waiting {
+    pub ticket: u64,
+    pub request: Request,
+    pub submitted: Instant,
 }
 
 /// State of one round of assignments.
@@ -72,12 +73,14 @@
 /// Engines and waiting requests of one service, as seen by one host.
 #[derive(Debug)]
 pub struct Pool {
-    speed: Speed,
+    pub(super) speed: Speed,
     domain: Domain,
-    holder: u64,
+    pub(super) holder: u64,
     sequence: u32,
     pub(super) engines: HashMap<Identity, Engine>,
-    waiting: Vec<Waiting>,
+    pub(super) waiting: Vec<Waiting>,
+    /// Order by value, if it is on.
+    pub(super) queue: Option<Queue>,
     tickets: u64,
     domain_health: DomainHealth,
     claims: Claims,
@@ -94,6 +97,7 @@
             sequence: 0,
             engines: HashMap::new(),
             waiting: Vec::new(),
+            queue: None,
             tickets: 0,
             domain_health: DomainHealth::default(),
             claims: Claims::default(),
@@ -172,6 +176,9 @@
         request.answer_tokens = request.answer_tokens.min(MAX_TOKENS);
         self.tickets += 1;
         let ticket = self.tickets;
+        if let Some(queue) = &mut self.queue {
+            queue.arrive(&request, now);
+        }
         self.waiting.push(Waiting {
             ticket,
             request,
@@ -189,6 +196,9 @@
     ///
     /// Returns the ticket and the decision for each of these requests; the others keep waiting.
     pub fn assign(&mut self, now: Instant) -> Vec<(u64, Decision)> {
+        if let Some(queue) = self.queue.take() {
+            return self.assign_by_value(queue, now);
+        }
         let mut decisions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         let speed = &self.speed;
@@ -222,20 +232,8 @@
             .blocked
             .is_none_or(|pause| pause != queued.request.pause)
         {
-            if let Some(plan) = self.plan(&queued.request, now.since(queued.submitted), now) {
-                let id = self.next_id();
-                self.apply(id, &plan, now);
-                // A turn at a limited engine is a last slot.
-                let slots_left = if self.is_limited(plan.primary) {
-                    0
-                } else {
-                    self.slots_left(plan.primary)
-                };
-                return Some(if self.claims.open(id, &plan, slots_left) {
-                    Decision::Claim(id, plan)
-                } else {
-                    Decision::Start(id, plan)
-                });
+            if let Some(decision) = self.try_start(queued, now) {
+                return Some(decision);
             }
             round.blocked = Some(queued.request.pause);
         }
@@ -260,6 +258,24 @@
             .then(|| Decision::Refuse(self.retry_after(queued, now)))
     }
 
+    /// Starts a request if there is a plan for it now.
+    pub(super) fn try_start(&mut self, queued: &Waiting, now: Instant) -> Option<Decision> {
+        let plan = self.plan(&queued.request, now.since(queued.submitted), now)?;
+        let id = self.next_id();
+        self.apply(id, &plan, now);
+        // A turn at a limited engine is a last slot.
+        let slots_left = if self.is_limited(plan.primary) {
+            0
+        } else {
+            self.slots_left(plan.primary)
+        };
+        Some(if self.claims.open(id, &plan, slots_left) {
+            Decision::Claim(id, plan)
+        } else {
+            Decision::Start(id, plan)
+        })
+    }
+
     fn plan(&self, request: &Request, waited: Duration, now: Instant) -> Option<Plan> {
         let accepting: Vec<_> = self
             .engines
@@ -424,7 +440,7 @@
     ///
     /// A spread by ticket prevents clients that were refused at the same time from all retrying at
     /// once.
-    fn retry_after(&self, queued: &Waiting, now: Instant) -> Duration {
+    pub(super) fn retry_after(&self, queued: &Waiting, now: Instant) -> Duration {
         let needed = min_engines(self.speed.prefill_ms(queued.request.prompt_tokens));
         let mut free: Vec<_> = self
             .engines
--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 use filbertstage_kernel::catalogue::{Entry, Profile, State};
 use filbertstage_kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
+use filbertstage_kernel::place::value::Origin;
 use filbertstage_kernel::prelude::*;
 
 pub const NOW: Instant = Instant::from_millis(100_000);
@@ -67,6 +68,7 @@
         priority: 1,
         answer_started: false,
         excluded: Vec::new(),
+        origin: Origin::default(),
     }
 }
 
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -70,6 +70,8 @@
     pub resume_after: Option<&'a str>,
     /// Engines that prefill parts of the prompt.
     pub helpers: &'a [Helper],
+    /// Rank among the requests at the endpoint, from 0 (first) to 9 (last); `None` to state none.
+    pub urgency: Option<u8>,
 }
 
 /// Classification of an endpoint's response by its head.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,6 +20,7 @@
 use crate::hosts::Hosts;
 use crate::observe;
 use crate::placer::Placer;
+use crate::settings::Admission;
 use crate::registry::Registry;
 use crate::report;
 
@@ -69,6 +70,8 @@
     pub apply_limit: Duration,
     /// Time within which requests to an endpoint must stop after it starts to drain.
     pub drain_limit: Duration,
+    /// Order of the waiting streams.
+    pub admission: Admission,
     /// Time between two writes of an endpoint's entry, which is the shortest outage in which
     /// entries may have expired.
     pub heartbeat: Duration,
@@ -241,6 +244,7 @@
             let services = current.services.iter();
             let engines = services.filter_map(|(name, entry)| Some((name, entry.engine.as_ref()?)));
             self.placer.set_services(engines);
+            self.placer.set_policies(&current, &self.admission);
         }
         self.refresh_engines();
     }
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -38,6 +38,20 @@
     metrics::counter!("filbertstage_helpers_total").increment(helpers);
 }
 
+/// Counts a waiting stream that is refused under the order by value, by priority up to 9.
+pub(crate) fn count_not_admitted(priority: u32, reason: &'static str) {
+    let priority = priority.min(9).to_string();
+    metrics::counter!(
+        "filbertstage_not_admitted_total", "priority" => priority, "reason" => reason
+    )
+    .increment(1);
+}
+
+/// Counts clients that were sent away and came back, by whether they were then served.
+pub(crate) fn count_returned(outcome: &'static str, number: u64) {
+    metrics::counter!("filbertstage_returned_total", "outcome" => outcome).increment(number);
+}
+
 /// Counts a claim on engines that lost to another host's claim.
 pub(crate) fn count_lost_claim() {
     metrics::counter!("filbertstage_claims_lost_total").increment(1);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,5 +1,7 @@
 //! Places streams on engines and queues the updates for the other hosts.
 
+mod admission;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +11,7 @@
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
 use kernel::pace::Rate;
+use kernel::place::policy::Policy;
 use kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -30,6 +33,7 @@
 struct Queue {
     pool: Pool,
     waiters: HashMap<u64, oneshot::Sender<Decision>>,
+    policy: Policy,
 }
 
 /// Places requests on the engines of all services. One lock guards all pools.
@@ -219,7 +223,9 @@
         if queue.pool.waiting() == 0 {
             return;
         }
-        for (ticket, decision) in queue.pool.assign(now) {
+        let decisions = queue.pool.assign(now);
+        admission::report(&mut queue.pool);
+        for (ticket, decision) in decisions {
             let waiter = queue.waiters.remove(&ticket);
             let undelivered = waiter.map(|waiter| waiter.send(decision));
             if let Some(Err(Decision::Start(id, _) | Decision::Claim(id, _))) = undelivered {
@@ -238,6 +244,7 @@
                 || Queue {
                     pool: Pool::new(speed.clone(), self.domain.clone(), self.holder),
                     waiters: HashMap::new(),
+                    policy: Policy::default(),
                 },
                 |mut queue| {
                     queue.pool.set_speed(speed.clone());
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -175,6 +175,7 @@
         remaining,
         resume_after: accepted.metadata.resume_after.as_deref(),
         helpers: &[],
+        urgency: None,
     };
     let request = accepted.outgoing(&*pipeline.dialect, &forwarding);
     let limit = if retry_allowed {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -139,6 +139,7 @@
             clock,
             apply_limit: Duration::from_millis(settings.times.apply_ms),
             drain_limit: Duration::from_millis(settings.times.drain_ms),
+            admission: settings.admission.clone(),
             heartbeat: settings.times.heartbeat(),
             fleet,
             restored: Notify::new(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use kernel::fleet::Start;
+use kernel::place::policy::Choice;
+use kernel::place::value::Weights;
 use serde::{Deserialize, Serialize};
 use settings::{Document, Problems};
 
@@ -26,6 +28,8 @@
     pub platform: Platform,
     /// Limits on retries.
     pub retry: Retry,
+    /// Order of waiting streams, and which are refused.
+    pub admission: Admission,
     /// Time limits.
     pub times: Times,
     /// Which log messages are written.
@@ -66,6 +70,57 @@
     pub window_ms: u64,
 }
 
+/// Order of waiting streams when there is too little room.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Admission {
+    /// `auto`, `value` or `order`.
+    pub policy: String,
+    /// Worth of a request relative to an equal one of the next, less urgent priority.
+    pub rank_weight: f64,
+    /// Worth of a late answer relative to one in time.
+    pub late_share: f64,
+}
+
+/// Names of the policies and what they select.
+const POLICIES: [(&str, Choice); 3] = [
+    ("auto", Choice::Auto),
+    ("value", Choice::Value),
+    ("order", Choice::Order),
+];
+/// Largest accepted `admission.rank_weight`; larger ones change nothing but lose precision.
+const MAX_RANK_WEIGHT: f64 = 1_000.0;
+
+impl Default for Admission {
+    fn default() -> Self {
+        let Weights { rank, late_share } = Weights::default();
+        Self {
+            policy: "auto".to_owned(),
+            rank_weight: rank,
+            late_share,
+        }
+    }
+}
+
+impl Admission {
+    /// Returns the chosen policy; `None` if its name is unknown.
+    #[must_use]
+    pub fn choice(&self) -> Option<Choice> {
+        let mut known = POLICIES.iter();
+        let (_, choice) = known.find(|(name, _)| *name == self.policy)?;
+        Some(*choice)
+    }
+
+    /// Returns the weights of the order by value.
+    #[must_use]
+    pub const fn weights(&self) -> Weights {
+        Weights {
+            rank: self.rank_weight,
+            late_share: self.late_share,
+        }
+    }
+}
+
 /// Time limits.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -197,6 +252,21 @@
             "retry.window_ms",
             "zero: give the length of the window in milliseconds",
         );
+        require(
+            tree.admission.choice().is_some(),
+            "admission.policy",
+            "unknown: give \"auto\", \"value\" or \"order\"",
+        );
+        require(
+            (1.0..=MAX_RANK_WEIGHT).contains(&tree.admission.rank_weight),
+            "admission.rank_weight",
+            "out of range: give a number from 1 to 1000",
+        );
+        require(
+            (0.0..=1.0).contains(&tree.admission.late_share),
+            "admission.late_share",
+            "out of range: give a number from 0 to 1",
+        );
         if problems.is_empty() {
             return Ok(tree);
         }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -11,6 +11,7 @@
 use kernel::clock::Instant;
 use kernel::outlier::Observation;
 use kernel::place::Request;
+use kernel::place::value::Origin;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -181,6 +182,11 @@
             priority: accepted.priority,
             answer_started: self.head_sent,
             excluded: self.attempts.excluded().to_vec(),
+            origin: Origin {
+                kind: accepted.route.name.clone(),
+                workspace: accepted.workspace.clone(),
+                prior_wait: accepted.prior_wait(),
+            },
         };
         let placing = self.pipeline.placer.place(&accepted.service, request);
         match timeout(remaining, placing).await {
@@ -237,6 +243,7 @@
             remaining,
             resume_after,
             helpers: &helpers,
+            urgency: pipeline.placer.urgency(service, self.accepted.priority),
         };
         self.log_placed(&engine, &placement);
         let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
