Judge delays against a second of work, and compare the orders on seven mixes

Requests due in 250 ms gave way to long ones that then held their engines, and small prompts took the engines that a larger one needs together.

--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use super::engine::{Engine, Load};
-use super::value::Origin;
 use super::speed::{Speed, as_f64, duration_from_ms};
+use super::value::Origin;
 use crate::catalogue::Identity;
 use crate::clock::Instant;
 use crate::name::Domain;
--- a/crates/kernel/src/place/policy.rs
+++ b/crates/kernel/src/place/policy.rs
@@ -59,7 +59,11 @@
     #[must_use]
     pub fn urgency(&self, priority: u32) -> Option<u8> {
         self.weights?;
-        let last = self.priorities.len().checked_sub(1).filter(|last| *last > 0)?;
+        let last = self
+            .priorities
+            .len()
+            .checked_sub(1)
+            .filter(|last| *last > 0)?;
         let before = self.priorities.iter().filter(|known| **known < priority);
         let position = before.count().min(last);
         u8::try_from(position * usize::from(LAST_URGENCY) / last).ok()
@@ -70,7 +74,10 @@
 fn priorities(configuration: &Configuration, service: &Service) -> BTreeSet<u32> {
     let mut priorities = BTreeSet::new();
     for route in configuration.routes() {
-        let serves = route.targets.iter().any(|target| target.service == *service);
+        let serves = route
+            .targets
+            .iter()
+            .any(|target| target.service == *service);
         if route.kind == Kind::Stream && serves {
             priorities.insert(route.priority);
         }
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -177,7 +177,7 @@
         self.tickets += 1;
         let ticket = self.tickets;
         if let Some(queue) = &mut self.queue {
-            queue.arrive(&request, now);
+            queue.arrive(&request);
         }
         self.waiting.push(Waiting {
             ticket,
--- a/crates/kernel/src/place/promise.rs
+++ b/crates/kernel/src/place/promise.rs
@@ -42,10 +42,13 @@
         if self.promises.is_empty() {
             self.filled_until = None;
         }
-        let at = self.filled_until.map_or(earliest, |until| until.max(earliest));
+        let at = self
+            .filled_until
+            .map_or(earliest, |until| until.max(earliest));
         if at < deadline && self.promises.len() < MAX_PROMISES {
             self.promises.push(Promise { at, work_ms });
-            self.filled_until = Some(at + super::speed::duration_from_ms(work_ms / rate.max(0.001)));
+            self.filled_until =
+                Some(at + super::speed::duration_from_ms(work_ms / rate.max(0.001)));
         }
         at
     }
@@ -59,7 +62,9 @@
             .promises
             .iter()
             .position(|promise| due(promise) && alike(promise));
-        found.map(|index| self.promises.swap_remove(index)).is_some()
+        found
+            .map(|index| self.promises.swap_remove(index))
+            .is_some()
     }
 
     /// Returns the promised work, in milliseconds of engine time.
--- a/crates/kernel/src/place/queue.rs
+++ b/crates/kernel/src/place/queue.rs
@@ -14,8 +14,9 @@
 /// Predicted waiting times are divided by this number before they refuse a request, because slots
 /// are often free sooner than predicted.
 const PREDICTION_MARGIN: f64 = 1.5;
-/// Least time that the work ahead is assumed to take when a delay is judged.
-const MIN_HORIZON: Duration = Duration::from_millis(100);
+/// Least time that the work ahead is assumed to take when a delay is judged. With 100 ms, requests
+/// due in 250 ms gave way to long ones that then held their engines.
+const MIN_HORIZON: Duration = Duration::from_millis(1_000);
 /// Maximum number of refusals kept for the log.
 const MAX_REPORTS: usize = 1_024;
 
@@ -109,9 +110,10 @@
     }
 
     /// Records the arrival of a request.
-    pub(super) fn arrive(&mut self, request: &Request, _now: Instant) {
+    pub(super) fn arrive(&mut self, request: &Request) {
         if request.origin.prior_wait.is_zero() && !request.answer_started {
-            self.sizes.record(&request.origin.kind, request.prompt_tokens);
+            self.sizes
+                .record(&request.origin.kind, request.prompt_tokens);
         }
     }
 }
@@ -178,14 +180,13 @@
                 .then(left.waiting.ticket.cmp(&right.waiting.ticket))
         });
         let mut decisions = Vec::new();
-        let mut blocked: Vec<(Duration, u64)> = Vec::new();
+        let mut blocked: Vec<Duration> = Vec::new();
         let mut round = Round::default();
         for ranked in ranked {
             let request = &ranked.waiting.request;
-            // What needs no less than a request that found no room finds none either.
-            let skip = blocked
-                .iter()
-                .any(|(pause, tokens)| *pause == request.pause && request.prompt_tokens >= *tokens);
+            // As in the order by priority, later requests with the same pause wait, so that
+            // smaller ones do not take the engines that a larger one needs together.
+            let skip = blocked.contains(&request.pause);
             let started = if skip {
                 None
             } else {
@@ -204,7 +205,7 @@
                 continue;
             }
             if !skip {
-                blocked.push((request.pause, request.prompt_tokens));
+                blocked.push(request.pause);
             }
             match self.refusal(&ranked, &mut round, rate, queue.seen, now) {
                 Some((reason, predicted)) => {
@@ -228,11 +229,14 @@
 
     fn rank(&self, queue: &Queue, waiting: Waiting, horizon: Duration, now: Instant) -> Ranked {
         let request = &waiting.request;
-        let relative = queue.sizes.relative(&request.origin.kind, request.prompt_tokens);
+        let relative = queue
+            .sizes
+            .relative(&request.origin.kind, request.prompt_tokens);
         let first_event = self.quickest_start(request);
-        let value = queue
-            .weights
-            .measure(&self.speed, request, relative, first_event, horizon, now);
+        let value =
+            queue
+                .weights
+                .measure(&self.speed, request, relative, first_event, horizon, now);
         Ranked {
             weight: value.urgency * queue.shares.factor(request, relative),
             waiting,
--- a/crates/kernel/src/place/share.rs
+++ b/crates/kernel/src/place/share.rs
@@ -69,7 +69,11 @@
             groups.push(Group::Workspace(workspace.clone()));
         }
         // A client that returns was counted when it was sent away.
-        let asked = if origin.prior_wait.is_zero() { 1.0 } else { 0.0 };
+        let asked = if origin.prior_wait.is_zero() {
+            1.0
+        } else {
+            0.0
+        };
         for group in groups {
             let tally = self.tallies.entry(group).or_default();
             tally.asked += asked;
@@ -107,10 +111,13 @@
                 missing += (target - own).max(0.0);
             }
         };
-        let less_urgent = self.tallies.iter().filter_map(|(group, tally)| match group {
-            Group::Priority(other) if *other > request.priority => tally.share(),
-            _ => None,
-        });
+        let less_urgent = self
+            .tallies
+            .iter()
+            .filter_map(|(group, tally)| match group {
+                Group::Priority(other) if *other > request.priority => tally.share(),
+                _ => None,
+            });
         let best = less_urgent.reduce(f64::max).map(|share| share + RANK_LEAD);
         lacks(&Group::Priority(request.priority), best);
         if let Some(workspace) = &origin.workspace {
--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use filbertstage_kernel::catalogue::{Entry, Profile, State};
-use filbertstage_kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use filbertstage_kernel::place::value::Origin;
+use filbertstage_kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use filbertstage_kernel::prelude::*;
 
 pub const NOW: Instant = Instant::from_millis(100_000);
--- a/crates/kernel/tests/support/rush.rs
+++ b/crates/kernel/tests/support/rush.rs
@@ -102,6 +102,14 @@
 }
 
 impl Tally {
+    pub fn sum(self, other: Self) -> Self {
+        Self {
+            asked: self.asked + other.asked,
+            served: self.served + other.served,
+            in_time: self.in_time + other.in_time,
+        }
+    }
+
     pub fn share(&self) -> f64 {
         f64::from(self.served) / f64::from(self.asked.max(1))
     }
@@ -122,6 +130,25 @@
     pub decisions: Vec<String>,
 }
 
+impl Play {
+    /// Adds the tallies and costs of another play.
+    pub fn add(&mut self, other: Self) {
+        self.cost += other.cost;
+        self.worth += other.worth;
+        let groups = [
+            (&mut self.kinds, other.kinds),
+            (&mut self.workspaces, other.workspaces),
+            (&mut self.largest, other.largest),
+        ];
+        for (own, other) in groups {
+            for (name, tally) in other {
+                let sum = own.entry(name).or_default();
+                *sum = sum.sum(tally);
+            }
+        }
+    }
+}
+
 pub fn worth(kind: &Kind, tokens: u64, late: bool) -> f64 {
     let size = (tokens as f64 / kind.mean_tokens as f64).min(4.0);
     (0.3 + 0.7 * size) * if late { kind.late } else { kind.worth }
@@ -137,7 +164,9 @@
 /// Loss of a scheduler that knows all arrivals and splits engine time without waste: a lower bound.
 pub fn bound(kinds: &[Kind], arrivals: &[Arrival], engines: u32, seconds: u64) -> f64 {
     let speed = Speed::new(profile());
-    let mut left = f64::from(engines) * (seconds as f64 + 15.0) * 1_000.0;
+    let objectives = kinds.iter().map(|kind| kind.objective_ms);
+    let until_ms = seconds * 1_000 + objectives.max().unwrap_or(0);
+    let mut left = f64::from(engines) * until_ms as f64;
     let mut all: Vec<_> = arrivals
         .iter()
         .map(|arrival| {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,9 +20,9 @@
 use crate::hosts::Hosts;
 use crate::observe;
 use crate::placer::Placer;
-use crate::settings::Admission;
 use crate::registry::Registry;
 use crate::report;
+use crate::settings::Admission;
 
 /// A read of configurations waits at the store for the apply limit plus this time. A connection
 /// that no longer responds is detected only after that wait.
--- a/crates/relay/src/placer/admission.rs
+++ b/crates/relay/src/placer/admission.rs
@@ -21,7 +21,11 @@
             queue.pool.set_policy(&policy);
             log::info!(
                 "event=admission service={service} policy={} priorities={:?}",
-                if policy.weights.is_some() { "value" } else { "order" },
+                if policy.weights.is_some() {
+                    "value"
+                } else {
+                    "order"
+                },
                 policy.priorities
             );
             queue.policy = policy;
@@ -47,7 +51,9 @@
             report.reason.as_str(),
             report.value.worth(),
             report.value.density,
-            report.against.map_or_else(|| "-".to_owned(), |least| format!("{least:.6}")),
+            report
+                .against
+                .map_or_else(|| "-".to_owned(), |least| format!("{least:.6}")),
             report.value.work_ms,
             report.value.in_time,
             report.predicted.as_millis(),
