--- a/crates/kernel/src/place/promise.rs
+++ b/crates/kernel/src/place/promise.rs
@@ -5,7 +5,7 @@
 use crate::clock::Instant;
 
 /// Time after a promised time at which the client counts as gone.
-const EXPIRY: Duration = Duration::from_millis(1_000);
+const EXPIRY: Duration = Duration::from_secs(1);
 /// Maximum number of promises that are kept. The times of further ones are not spread.
 const MAX_PROMISES: usize = 4_096;
 
--- a/crates/kernel/src/place/queue.rs
+++ b/crates/kernel/src/place/queue.rs
@@ -16,7 +16,7 @@
 const PREDICTION_MARGIN: f64 = 1.5;
 /// Least time that the work ahead is assumed to take when a delay is judged. With 100 ms, requests
 /// due in 250 ms gave way to long ones that then held their engines.
-const MIN_HORIZON: Duration = Duration::from_millis(1_000);
+const MIN_HORIZON: Duration = Duration::from_secs(1);
 /// Maximum number of refusals kept for the log.
 const MAX_REPORTS: usize = 1_024;
 
@@ -207,17 +207,14 @@
             if !skip {
                 blocked.push(request.pause);
             }
-            match self.refusal(&ranked, &mut round, rate, queue.seen, now) {
-                Some((reason, predicted)) => {
-                    let after =
-                        self.refuse(&mut queue, &ranked, &round, (reason, predicted), rate, now);
-                    decisions.push((ticket, Decision::Refuse(after)));
-                }
-                None => {
-                    round.ahead_ms += ranked.value.work_ms;
-                    round.least = Some(ranked.value.density);
-                    self.waiting.push(ranked.waiting);
-                }
+            let verdict = self.refusal(&ranked, &mut round, rate, queue.seen, now);
+            if let Some(verdict) = verdict {
+                let after = self.refuse(&mut queue, &ranked, &round, verdict, rate, now);
+                decisions.push((ticket, Decision::Refuse(after)));
+            } else {
+                round.ahead_ms += ranked.value.work_ms;
+                round.least = Some(ranked.value.density);
+                self.waiting.push(ranked.waiting);
             }
         }
         let last = self.waiting.iter().map(|waiting| waiting.ticket).max();
--- a/crates/kernel/tests/support/rush.rs
+++ b/crates/kernel/tests/support/rush.rs
@@ -3,8 +3,9 @@
 //! The engines behave as the pool predicts. A refused client returns once its `Retry-After` is over
 //! while it has time left.
 
-// No test file uses all of these helpers.
-#![allow(dead_code)]
+// No test file uses all of these helpers. Counts and times stay far below the limits of floats.
+#![allow(dead_code, clippy::cast_precision_loss)]
+#![allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -82,11 +83,11 @@
         let of_kind = arrivals.iter().filter(|arrival| arrival.kind == index);
         let mut sizes: Vec<_> = of_kind.map(|arrival| arrival.tokens).collect();
         sizes.sort_unstable();
-        let Some(least) = sizes.get(sizes.len() * 9 / 10).copied() else {
+        let Some(smallest) = sizes.get(sizes.len() * 9 / 10).copied() else {
             continue;
         };
         for arrival in arrivals.iter_mut().filter(|arrival| arrival.kind == index) {
-            arrival.largest = arrival.tokens >= least;
+            arrival.largest = arrival.tokens >= smallest;
         }
     }
     arrivals.sort_by_key(|arrival| arrival.at);
@@ -241,15 +242,15 @@
             let kind = &kinds[arrival.kind];
             let after_ms = now.since(NOW).as_millis();
             match decision {
-                Decision::Start(id, plan) | Decision::Claim(id, plan) => {
-                    pool.settle(id, plan.primary, now);
-                    let first = now + plan.first_event;
+                Decision::Start(id, placed) | Decision::Claim(id, placed) => {
+                    pool.settle(id, placed.primary, now);
+                    let first = now + placed.first_event;
                     let due = arrival.at + Duration::from_millis(kind.objective_ms);
                     outcomes[index] = Some(first <= due);
-                    let ends_by = plan.loads.iter().map(|(_, load)| load.ends_by).max();
+                    let ends_by = placed.loads.iter().map(|(_, load)| load.ends_by).max();
                     prefills.push((first, id));
                     ends.push((ends_by.unwrap_or(first), id));
-                    let engine = plan.primary.0 % 1_000;
+                    let engine = placed.primary.0 % 1_000;
                     let line = format!("{after_ms} {index} {} start {engine}", kind.name);
                     play.decisions.push(line);
                 }
