--- a/crates/kernel/tests/fuzz.rs
+++ b/crates/kernel/tests/fuzz.rs
@@ -8,6 +8,7 @@
 
 use filbertstage_kernel::catalogue::{Identity, Profile};
 use filbertstage_kernel::event::Splitter;
+use filbertstage_kernel::place::value::Origin;
 use filbertstage_kernel::place::{Load, LoadId, Pool, Request, Speed};
 use filbertstage_kernel::prelude::*;
 use proptest::prelude::*;
@@ -30,6 +31,7 @@
             priority: 1,
             answer_started,
             excluded: Vec::new(),
+            origin: Origin::default(),
         },
     )
 }
--- a/crates/kernel/tests/value.rs
+++ b/crates/kernel/tests/value.rs
@@ -151,10 +151,10 @@
 
     /// Guards against starvation of the largest: within a kind the worth grows with the size.
     #[test]
-    fn the_worth_grows_with_the_size(tokens in 100_u64..400_000, more in 1_u64..400_000) {
-        let worth = |tokens: u64| {
-            let request = support::request(tokens, 2_000, 500, NOW);
-            measured(&request, tokens as f64 / 50_000.0, NOW).worth()
+    fn the_worth_grows_with_the_size(tokens in 100_u32..400_000, more in 1_u32..400_000) {
+        let worth = |tokens: u32| {
+            let request = support::request(tokens.into(), 2_000, 500, NOW);
+            measured(&request, f64::from(tokens) / 50_000.0, NOW).worth()
         };
         prop_assert!(worth(tokens + more) >= worth(tokens) * 0.999);
     }
