--- a/crates/kernel/src/place/value.rs
+++ b/crates/kernel/src/place/value.rs
@@ -159,7 +159,8 @@
         // Within a kind the worth grows with the size. Between kinds it grows with the square root
         // of the work, between "all requests are alike" and "all work is alike". The correction
         // stays within one priority's factor, so that at equal work it never reverses two of them.
-        let correction = size_worth(relative) / relative.max(f64::EPSILON).sqrt();
+        let correction =
+            size_worth(relative) / relative.clamp(FIXED_WORTH / SIZE_WORTH, MAX_SIZE).sqrt();
         let returned = if request.origin.prior_wait.is_zero() {
             1.0
         } else {
