--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -10,6 +10,7 @@
 use super::engine::{Engine, Load};
 use super::path::{Paths, Price, Stream};
 use super::speed::{Speed, as_f64, duration_from_ms};
+use super::value::Origin;
 use crate::catalogue::Identity;
 use crate::clock::Instant;
 
@@ -77,6 +78,8 @@
     pub answer_started: bool,
     /// Engines that have already failed this request.
     pub excluded: Vec<Identity>,
+    /// Where the request comes from.
+    pub origin: Origin,
 }
 
 /// Part of a prompt that a helper engine prefills.
--- a/crates/kernel/tests/support/mod.rs
+++ b/crates/kernel/tests/support/mod.rs
@@ -3,9 +3,12 @@
 // No test file uses all of these helpers.
 #![allow(dead_code)]
 
+pub mod rush;
+
 use std::time::Duration;
 
 use filbertstage_kernel::catalogue::{Entry, Profile, State};
+use filbertstage_kernel::place::value::Origin;
 use filbertstage_kernel::place::{Decision, Load, LoadId, Plan, Pool, Request, Speed};
 use filbertstage_kernel::prelude::*;
 
@@ -66,6 +69,7 @@
         priority: 1,
         answer_started: false,
         excluded: Vec::new(),
+        origin: Origin::default(),
     }
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::placer::Placer;
 use crate::registry::Registry;
 use crate::report;
+use crate::settings::Admission;
 
 /// A read of configurations waits at the store for the apply limit plus this time. A connection
 /// that no longer responds is detected only after that wait.
@@ -72,6 +73,8 @@
     pub apply_limit: Duration,
     /// Time within which requests to an endpoint must stop after it starts to drain.
     pub drain_limit: Duration,
+    /// Order of the waiting streams.
+    pub admission: Admission,
     /// Time between two writes of an endpoint's entry, which is the shortest outage in which
     /// entries may have expired.
     pub heartbeat: Duration,
@@ -255,6 +258,7 @@
             let services = current.services.iter();
             let engines = services.filter_map(|(name, entry)| Some((name, entry.engine.as_ref()?)));
             self.placer.set_services(engines);
+            self.placer.set_policies(&current, &self.admission);
         }
         self.hosts.publish(self.cold.observe_unknown());
         self.refresh_engines();
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,5 +1,6 @@
 //! Places streams on engines and queues the updates for the other hosts.
 
+mod admission;
 mod placement;
 mod turns;
 
@@ -15,6 +16,7 @@
 use kernel::cold::Phase;
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
+use kernel::place::policy::Policy;
 use kernel::place::{Decision, LoadId, Plan, Pool, Request, Speed};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -42,6 +44,7 @@
     pool: Pool,
     addresses: HashMap<SocketAddr, Identity>,
     waiters: HashMap<u64, oneshot::Sender<Decision>>,
+    policy: Policy,
 }
 
 /// Places requests on the engines of all services. One lock guards all pools.
@@ -215,7 +218,9 @@
         if queue.pool.waiting() == 0 {
             return;
         }
-        for (ticket, decision) in queue.pool.assign(now) {
+        let decisions = queue.pool.assign(now);
+        admission::report(&mut queue.pool);
+        for (ticket, decision) in decisions {
             let waiter = queue.waiters.remove(&ticket);
             let undelivered = waiter.map(|waiter| waiter.send(decision));
             if let Some(Err(Decision::Start(id, _) | Decision::Claim(id, _))) = undelivered {
@@ -238,6 +243,7 @@
                     pool: Pool::new(speed.clone(), self.domain.clone(), self.holder),
                     addresses: HashMap::new(),
                     waiters: HashMap::new(),
+                    policy: Policy::default(),
                 },
                 |mut queue| {
                     queue.pool.set_speed(speed.clone());
