--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::slowness::Slowness;
 use super::speed::Speed;
 use crate::catalogue::Identity;
 use crate::clock::Instant;
@@ -55,8 +54,6 @@
     pub health: Health,
     /// The limit that the engine names, if any, and the next turn.
     pub pacer: Pacer,
-    /// Recent slowness against engines of its kind.
-    pub slowness: Slowness,
     /// Position in the order in which engines are filled, from 0 to 1; the same on every host.
     pub fill_order: f64,
     loads: HashMap<LoadId, Load>,
@@ -74,7 +71,6 @@
             domain,
             health: Health::default(),
             pacer: Pacer::default(),
-            slowness: Slowness::default(),
             fill_order: f64::from(fill_order) / f64::from(FILL_STEPS),
             loads: HashMap::new(),
         }
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -100,8 +100,6 @@
     pub helpers: Vec<Part>,
     /// Predicted time to the first event.
     pub first_event: Duration,
-    /// Part of `first_event` that is due to the slowness of the primary engine, in milliseconds.
-    pub slow_ms: f32,
     /// Predicted time between two events.
     pub pass: Duration,
     /// Loads that the plan adds, with their engines.
@@ -147,8 +145,6 @@
     shortest_pause: Option<Duration>,
     path: Price,
     opening_ms: f64,
-    /// Time beyond that of its kind which the engine needs, as a share of it.
-    slow_share: f64,
 }
 
 struct Candidate<'a> {
@@ -159,8 +155,6 @@
     helper_ms: f64,
     /// Milliseconds by which the path delays the first event.
     path_ms: f64,
-    /// Milliseconds by which the engine's slowness delays the first event.
-    slow_ms: f64,
     cost: f64,
 }
 
@@ -176,12 +170,11 @@
         let relaxation =
             (1.0 + waited.as_secs_f64() * 1_000.0 / WAIT_DOUBLING_MS).min(MAX_RELAXATION);
         let max_part_ms = MAX_PART_MS.max(min_part_ms) * relaxation;
-        let usual = self.usual_factor();
         let estimates: Vec<_> = self
             .engines
             .iter()
             .filter(|engine| !request.excluded.contains(&engine.identity))
-            .map(|engine| self.estimate(engine, request, usual))
+            .map(|engine| self.estimate(engine, request))
             .collect();
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -208,18 +201,7 @@
         best.map(|(_, plan)| plan)
     }
 
-    /// Returns the median of the engines' slowness. If most engines are late, the prediction is
-    /// wrong, and no engine is slower than its kind.
-    fn usual_factor(&self) -> f64 {
-        let engines = self.engines.iter();
-        let mut factors: Vec<_> = engines
-            .map(|engine| engine.slowness.factor(self.now))
-            .collect();
-        factors.sort_by(f64::total_cmp);
-        factors.get(factors.len() / 2).copied().unwrap_or(1.0)
-    }
-
-    fn estimate<'a>(&self, engine: &'a Engine, request: &Request, usual: f64) -> Estimate<'a> {
+    fn estimate<'a>(&self, engine: &'a Engine, request: &Request) -> Estimate<'a> {
         let pass_ms = engine.pass_ms(self.speed, 0) * self.slowdown(engine);
         let stream = Stream {
             events: as_f64(self.events(request)),
@@ -234,7 +216,6 @@
             shortest_pause: engine.shortest_pause(),
             path: self.paths.price(&engine.domain, &stream, self.now),
             opening_ms: self.opening_ms(engine),
-            slow_share: (engine.slowness.factor(self.now) / usual - 1.0).max(0.0),
         }
     }
 
@@ -320,13 +301,12 @@
             0.0
         };
         let primary_ms = backlog + pass_wait + part_ms;
-        let slow_ms = (part_ms + pass) * estimate.slow_share;
         let mut cost = if request.pause <= SENSITIVE_PAUSE {
-            let event_ms = primary_ms + pass + slow_ms + estimate.path.delay_ms;
+            let event_ms = primary_ms + pass + estimate.path.delay_ms;
             sensitive_cost(engine, event_ms, has_sensitive)
         } else {
             let mixing = if has_sensitive { MIXING_MS } else { 0.0 };
-            backlog + pass + slow_ms + mixing + (1.0 - engine.fill_order) * TOLERANT_FILL_ORDER_MS
+            backlog + pass + mixing + (1.0 - engine.fill_order) * TOLERANT_FILL_ORDER_MS
         };
         cost += estimate.path.cost_ms + estimate.opening_ms;
         if engine.pacer.limit().is_some() {
@@ -338,10 +318,7 @@
         Some(Candidate {
             engine,
             primary_ms,
-            helper_ms: estimate.helper_backlog_ms
-                + pass_wait
-                + part_ms * (1.0 + estimate.slow_share),
-            slow_ms,
+            helper_ms: estimate.helper_backlog_ms + pass_wait + part_ms,
             path_ms: estimate.path.delay_ms,
             cost,
         })
@@ -438,8 +415,7 @@
         Plan {
             primary: primary.engine.identity,
             helpers: parts,
-            first_event: duration_from_ms(prefill_ms + pass + primary.path_ms + primary.slow_ms),
-            slow_ms: narrow(primary.slow_ms),
+            first_event: duration_from_ms(prefill_ms + pass + primary.path_ms),
             pass: duration_from_ms(pass),
             loads,
         }
@@ -456,12 +432,6 @@
     }
 }
 
-/// Converts milliseconds, whose fractions below a microsecond do not matter.
-#[allow(clippy::cast_possible_truncation)]
-const fn narrow(millis: f64) -> f32 {
-    millis as f32
-}
-
 /// Returns the cost of a latency-sensitive stream on an engine.
 ///
 /// The cost packs such streams on few engines while their first events are early enough.
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -300,17 +300,11 @@
         }
         let max_wait = queued.request.deadline.since(queued.submitted) / WAIT_DIVISOR;
         let due = queued.request.due.since(queued.submitted);
-        let due = if queued.request.answer_started {
-            due.max(MIN_WAIT_ANSWER_STARTED)
-        } else if due.is_zero()
-            && min_engines(self.speed.prefill_ms(queued.request.prompt_tokens)) > 1
-        {
-            // The client was sent away before and has waited as it was told. Several engines are seldom free at the
-            // same time, and the client gives up after another refusal.
-            max_wait
+        let due = due.max(if queued.request.answer_started {
+            MIN_WAIT_ANSWER_STARTED
         } else {
-            due.max(MIN_WAIT)
-        };
+            MIN_WAIT
+        });
         let wait_left = max_wait
             .min(due)
             .saturating_sub(now.since(queued.submitted));
--- a/crates/relay/src/placer/placement.rs
+++ b/crates/relay/src/placer/placement.rs
@@ -22,18 +22,6 @@
     /// when it arrives.
     pub fn record_first_event(&self, elapsed: Duration) {
         self.placer.record_cold_first_event(self, elapsed);
-        // Helpers may delay the first event of the primary engine.
-        if self.plan.helpers.is_empty() {
-            // The share of a huge prediction may not be a valid duration.
-            let slow = Duration::try_from_secs_f32(self.plan.slow_ms / 1e3).unwrap_or_default();
-            let predicted = self.plan.first_event.saturating_sub(slow);
-            let now = self.placer.clock.now();
-            let mut queues = self.placer.queues.lock();
-            let queue = queues.get_mut(&self.service);
-            if let Some(engine) = queue.and_then(|queue| queue.pool.engine_mut(self.plan.primary)) {
-                engine.slowness.record(elapsed, predicted, now);
-            }
-        }
         self.placer.finish_prefill(&self.service, self.id);
     }
 
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{Session, Upstream, first_event_limit};
+use super::{FIRST_EVENT_SLACK, Session, Upstream};
 use crate::attempts::GiveUp;
 use crate::body::Error;
 use crate::broken;
@@ -268,7 +268,7 @@
             let limit = if started {
                 self.max_pause() + PAUSE_SLACK
             } else {
-                first_event_limit(&upstream.placement.plan, remaining)
+                upstream.placement.plan.first_event * 2 + FIRST_EVENT_SLACK
             };
             // Bytes that complete no event do not extend the time.
             let event_timeout = if wait_until_deadline {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use http::{Response, response};
-use kernel::catalogue::{Entry, Profile};
+use kernel::catalogue::{Entry, Identity, Profile};
 use kernel::clock::Instant;
 use kernel::outlier::Observation;
+use kernel::place::Request;
 use kernel::place::value::Origin;
-use kernel::place::{Plan, Request};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -127,21 +127,6 @@
     }
 }
 
-/// Returns the time after which an engine that has sent nothing counts as unresponsive, if `remaining` is left for the
-/// request.
-///
-/// Another run of a prompt that several engines read wastes what all of them have read, and delays the prompts behind
-/// it. So such a run is given up only when it is time to start another one.
-fn first_event_limit(plan: &Plan, remaining: Duration) -> Duration {
-    let usual = plan.first_event * 2 + FIRST_EVENT_SLACK;
-    let limit = if plan.helpers.is_empty() {
-        usual
-    } else {
-        usual.max(remaining.saturating_sub(plan.first_event * 2) / 2)
-    };
-    limit.min(remaining)
-}
-
 impl Session {
     /// Forwards the head of the first engine's response and spawns a task that relays the events.
     fn respond(mut self, upstream: Upstream) -> Response<Body> {
@@ -292,7 +277,7 @@
         self.log_placed(&engine, &placement);
         let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
         let limit = if self.attempts.allowed_after_run() {
-            first_event_limit(&placement.plan, remaining)
+            remaining.min(placement.plan.first_event * 2 + FIRST_EVENT_SLACK)
         } else {
             remaining
         };
@@ -317,36 +302,146 @@
                 self.check_head(exchange, placement, engine, reservations, sent_at)
                     .await
             }
-            Ok(Err(Failure::Unsent(reason))) => {
-                self.record_unsent(&engine, Observation::Unresponsive, &reason);
+            Ok(Err(failure)) => {
+                self.handle_failure(&engine, &used, failure, sent_at).await;
                 Err(None)
             }
-            Ok(Err(Failure::Refused(reason))) => {
-                self.record_unsent(&engine, Observation::Gone, &reason);
+            Err(_) if !is_sent.load(Ordering::Relaxed) => {
+                self.record_unsent(&engine, Observation::Unresponsive, NO_CONNECTION);
                 Err(None)
             }
-            Ok(Err(Failure::Withheld)) => {
-                self.log_send(&engine, "withheld", "");
-                let withdrawn = used
-                    .iter()
-                    .filter(|engine| pipeline.registry.is_withheld(**engine));
-                let withdrawn = withdrawn.copied().next();
+            Err(_) => {
+                pipeline.dialer.close_idle(engine.address);
+                self.record_failure(&engine, Observation::Unresponsive, "no answer in time");
+                Err(None)
+            }
+        }
+    }
+
+    /// Records that the request could not be sent to `engine`, or that there was no whole answer. The plan has the
+    /// engines `used`.
+    async fn handle_failure(
+        &mut self,
+        engine: &Entry,
+        used: &[Identity],
+        failure: Failure,
+        sent_at: Instant,
+    ) {
+        match failure {
+            Failure::Unsent(reason) => {
+                self.record_unsent(engine, Observation::Unresponsive, &reason);
+            }
+            Failure::Refused(reason) => {
+                self.record_unsent(engine, Observation::Gone, &reason);
+            }
+            Failure::Withheld => {
+                self.log_send(engine, "withheld", "");
+                let registry = &self.pipeline.registry;
+                let withdrawn = used.iter().find(|engine| registry.is_withheld(**engine));
+                let withdrawn = withdrawn.copied();
                 self.attempts
                     .record_unsent(withdrawn.unwrap_or_else(|| engine.identity()));
-                Err(None)
             }
-            Ok(Err(Failure::Uncertain(reason))) => {
-                self.record_failure(&engine, Observation::Failed, &reason);
+            Failure::Uncertain(reason) => {
+                self.record_failure(engine, Observation::Failed, &reason);
                 let run = broken::Run {
-                    endpoint: &engine,
+                    endpoint: engine,
                     began: sent_at,
                     events: 0,
                     answering: None,
                 };
-                if broken::examine(&pipeline, &self.accepted, &run).await {
-                    self.record_observation(&engine, Observation::Gone);
+                if broken::examine(&self.pipeline, &self.accepted, &run).await {
+                    self.record_observation(engine, Observation::Gone);
                     self.engine_crashed = true;
                 }
+            }
+        }
+    }
+
+    /// Checks the head of an engine's response.
+    async fn check_head(
+        &mut self,
+        exchange: Exchange,
+        placement: Placement,
+        engine: Entry,
+        reservations: Reservations,
+        sent_at: Instant,
+    ) -> Result<Upstream, Option<(response::Parts, Bytes)>> {
+        let id = self.accepted.metadata.id.as_deref();
+        let head = &exchange.head;
+        let dialect = &self.pipeline.dialect;
+        let class = dialect.classify_response(id, head.status, &head.headers);
+        match class {
+            ResponseClass::Mismatched => {
+                self.record_failure(&engine, Observation::Failed, MISMATCHED_RESPONSE);
+                return Err(None);
+            }
+            ResponseClass::Unsigned => {
+                self.record_failure(&engine, Observation::Failed, UNSIGNED_RESPONSE);
+                return Err(None);
+            }
+            ResponseClass::NotRun(at_fault) => {
+                let named =
+                    at_fault.and_then(|address| self.pipeline.registry.endpoint_at(address));
+                self.log_send(&engine, "not_run", head.status.as_str());
+                let at_fault = named.unwrap_or_else(|| engine.identity());
+                self.attempts.record_rejected(at_fault);
+                return Err(None);
+            }
+        };
+        let suspects = &self.accepted.suspects;
+        if pipeline
+            .quarantine
+            .recheck(suspects, self.admission)
+            .is_err()
+        {
+            // The next attempt is refused before it is placed.
+            return Err(None);
+        }
+        if !self.attempts.try_start(&pipeline.budgets, service) {
+            self.attempts.exhaust();
+            return Err(None);
+        }
+        let sent_at = pipeline.clock.now();
+        let remaining = self.accepted.deadline.since(sent_at);
+        let forwarding = Forwarding {
+            endpoint: &engine.name,
+            workspace: self.accepted.workspace.as_ref(),
+            remaining,
+            resume_after,
+            helpers: &helpers,
+            urgency: pipeline.placer.urgency(service, self.accepted.priority),
+        };
+        self.log_placed(&engine, &placement);
+        let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
+        let limit = if self.attempts.allowed_after_run() {
+            remaining.min(placement.plan.first_event * 2 + FIRST_EVENT_SLACK)
+        } else {
+            remaining
+        };
+        let helping = placement.plan.helpers.iter().map(|part| part.engine);
+        let used: Vec<_> = helping.chain([engine.identity()]).collect();
+        let is_sent = AtomicBool::new(false);
+        let sending = pipeline
+            .dialer
+            .send_if(engine.address, request, &is_sent, || {
+                !used
+                    .iter()
+                    .any(|engine| pipeline.registry.is_withheld(*engine))
+            });
+        let sent = timeout(limit, sending).await;
+        match sent {
+            Ok(Ok(exchange)) => {
+                self.pipeline
+                    .handle_notice(&engine, &exchange.head, sent_at);
+                self.pipeline
+                    .paths
+                    .record_exchange(&engine.domain, &exchange);
+                self.check_head(exchange, placement, engine, reservations, sent_at)
+                    .await
+            }
+            Ok(Err(failure)) => {
+                self.handle_failure(&engine, &used, failure, sent_at).await;
                 Err(None)
             }
             Err(_) if !is_sent.load(Ordering::Relaxed) => {
@@ -361,6 +456,46 @@
         }
     }
 
+    /// Records that the request could not be sent to `engine`, or that there was no whole answer. The plan has the
+    /// engines `used`.
+    async fn handle_failure(
+        &mut self,
+        engine: &Entry,
+        used: &[Identity],
+        failure: Failure,
+        sent_at: Instant,
+    ) {
+        match failure {
+            Failure::Unsent(reason) => {
+                self.record_unsent(engine, Observation::Unresponsive, &reason);
+            }
+            Failure::Refused(reason) => {
+                self.record_unsent(engine, Observation::Gone, &reason);
+            }
+            Failure::Withheld => {
+                self.log_send(engine, "withheld", "");
+                let registry = &self.pipeline.registry;
+                let withdrawn = used.iter().find(|engine| registry.is_withheld(**engine));
+                let withdrawn = withdrawn.copied();
+                self.attempts
+                    .record_unsent(withdrawn.unwrap_or_else(|| engine.identity()));
+            }
+            Failure::Uncertain(reason) => {
+                self.record_failure(engine, Observation::Failed, &reason);
+                let run = broken::Run {
+                    endpoint: engine,
+                    began: sent_at,
+                    events: 0,
+                    answering: None,
+                };
+                if broken::examine(&self.pipeline, &self.accepted, &run).await {
+                    self.record_observation(engine, Observation::Gone);
+                    self.engine_crashed = true;
+                }
+            }
+        }
+    }
+
     /// Checks the head of an engine's response.
     async fn check_head(
         &mut self,
