Read split prompts on engines without unread prompts

Change: the engines of a split prompt have at most 10 ms of unread prefill, and an update of another host that adds a part delays all unread prompts of its engine, not only the engine's own.

--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -97,15 +97,17 @@
 
     /// Inserts or overwrites a load.
     ///
-    /// Helper parts are prefilled before the engine's own prompts, so a new part delays these
-    /// prompts.
+    /// Engines prefill helper parts before their own prompts, and the part that arrived last before
+    /// the others, so a new part delays all unread prompts.
     pub fn put(&mut self, id: LoadId, load: Load, now: Instant) {
         let new = self.loads.insert(id, load).is_none();
-        if new && !load.decodes {
-            for (other, own) in &mut self.loads {
-                if *other != id && own.decodes && !own.prefilled && own.prefilled_by > now {
-                    own.prefilled_by = own.prefilled_by + load.prefill_time;
-                }
+        if !new || load.decodes {
+            return;
+        }
+        for (other, unread) in &mut self.loads {
+            if *other != id && !unread.prefilled && unread.prefilled_by > now {
+                unread.prefilled_by = unread.prefilled_by + load.prefill_time;
+                unread.ends_by = unread.ends_by.max(unread.prefilled_by);
             }
         }
     }
@@ -143,16 +145,6 @@
         remaining.fold(0.0, f64::max)
     }
 
-    /// Returns the milliseconds until all helper parts are prefilled, which run before the engine's
-    /// own prompts.
-    #[must_use]
-    pub fn helper_backlog_ms(&self, now: Instant) -> f64 {
-        let parts = self.loads.values().filter(|load| !load.decodes);
-        parts
-            .map(|load| remaining_prefill_ms(load, now))
-            .fold(0.0, f64::max)
-    }
-
     /// Returns the number of requests that decode here, now or after their prefill.
     #[must_use]
     pub fn decoding(&self) -> usize {
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -28,6 +28,11 @@
 /// Maximum prefill backlog of an engine that receives a request. With a larger backlog, requests
 /// wait at the hosts, where a better engine can still be chosen.
 const MAX_BACKLOG_MS: f64 = 100.0;
+/// Maximum prefill backlog of an engine that receives a part of a split prompt. Engines prefill the
+/// part that arrived last first, so a new part delays each unread prompt of its engine, and with it
+/// all engines of that prompt, by its own prefill time. The rest of a prompt that is read within this
+/// time is read before the new part arrives.
+const MAX_UNREAD_MS: f64 = 10.0;
 /// Waiting time after which the maximum part and backlog of a request are doubled.
 const WAIT_DOUBLING_MS: f64 = 2_000.0;
 /// Maximum factor by which the maximum part and backlog are raised.
@@ -140,7 +145,6 @@
 struct Estimate<'a> {
     engine: &'a Engine,
     backlog_ms: f64,
-    helper_backlog_ms: f64,
     pass_ms: f64,
     shortest_pause: Option<Duration>,
     path: Price,
@@ -211,7 +215,6 @@
         Estimate {
             engine,
             backlog_ms: engine.backlog_ms(self.now),
-            helper_backlog_ms: engine.helper_backlog_ms(self.now),
             pass_ms,
             shortest_pause: engine.shortest_pause(),
             path: self.paths.price(&engine.domain, &stream, self.now),
@@ -237,9 +240,15 @@
         part_ms: f64,
         relaxation: f64,
     ) -> Option<Plan> {
+        let max_backlog_ms = if count > 1 {
+            MAX_UNREAD_MS
+        } else {
+            MAX_BACKLOG_MS * relaxation
+        };
         let mut candidates: Vec<_> = estimates
             .iter()
-            .filter_map(|estimate| self.candidate(estimate, request, part_ms, relaxation))
+            .filter(|estimate| estimate.backlog_ms <= max_backlog_ms)
+            .filter_map(|estimate| self.candidate(estimate, request, part_ms))
             .collect();
         if candidates.len() < count {
             return None;
@@ -276,7 +285,6 @@
         estimate: &Estimate<'a>,
         request: &Request,
         part_ms: f64,
-        relaxation: f64,
     ) -> Option<Candidate<'a>> {
         let engine = estimate.engine;
         let part_ms = part_ms * self.slowdown(engine);
@@ -285,9 +293,6 @@
             return None;
         }
         let backlog = estimate.backlog_ms;
-        if backlog > MAX_BACKLOG_MS * relaxation {
-            return None;
-        }
         let (pass, shortest_pause) = (estimate.pass_ms, estimate.shortest_pause);
         let has_sensitive = shortest_pause.is_some_and(|pause| pause <= SENSITIVE_PAUSE);
         if let Some(pause) = shortest_pause
@@ -318,7 +323,7 @@
         Some(Candidate {
             engine,
             primary_ms,
-            helper_ms: estimate.helper_backlog_ms + pass_wait + part_ms,
+            helper_ms: pass_wait + part_ms,
             path_ms: estimate.path.delay_ms,
             cost,
         })
