Estimate how long a client has waited from what other clients state

Cause: a client that states less remaining time than the route's timeout was taken for one that had been sent away before. Change: kernel::patience compares the remaining time with that of recent attempts on the route.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod pace;
+pub mod patience;
 pub mod place;
 pub mod position;
 pub mod quarantine;
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -1,5 +1,6 @@
 //! Reads, routes, admits and forwards each request.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use kernel::clock::Instant;
 use kernel::fingerprint::Fingerprint;
 use kernel::name::{Domain, Host, Service, Workspace};
+use kernel::patience::Patience;
 use kernel::quarantine::Suspect;
 use kernel::segment;
 use parking_lot::Mutex;
@@ -81,6 +83,8 @@
     pub domain: Domain,
     /// Random number generator for the choice of a route's service.
     pub rng: Mutex<SmallRng>,
+    /// By route: how much time clients give their requests.
+    pub patience: Mutex<HashMap<String, Patience>>,
 }
 
 impl Pipeline {
@@ -91,6 +95,17 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
+    /// Estimates how long a client that still waits for `remaining` has waited before this attempt.
+    /// What another host passes on tells nothing of its client.
+    fn prior_wait(&self, route: &Route, remaining: Duration, origin: Origin) -> Duration {
+        if origin == Origin::Host || route.kind != Kind::Stream {
+            return Duration::ZERO;
+        }
+        let mut routes = self.patience.lock();
+        let patience = routes.entry(route.name.clone()).or_default();
+        patience.observe(remaining, route.timeout)
+    }
+
     /// Returns why a request is refused at once if all endpoints of its service are in evacuated
     /// failure domains.
     pub(crate) fn evacuated(&self, service: &Service) -> Option<GiveUp> {
@@ -199,6 +214,8 @@
     pub priority: u32,
     pub arrived: Instant,
     pub deadline: Instant,
+    /// Estimate of how long the client has waited before this attempt.
+    pub prior_wait: Duration,
 }
 
 impl Accepted {
@@ -237,15 +254,6 @@
         segment::format_list(&self.metadata.segments)
     }
 
-    /// How long the client has waited before this client attempt.
-    ///
-    /// Clients start with the route's timeout and send the remaining time with each attempt. A
-    /// shorter remaining time means earlier attempts.
-    pub fn prior_wait(&self) -> Duration {
-        let remaining = self.metadata.remaining.unwrap_or(self.route.timeout);
-        self.route.timeout.saturating_sub(remaining)
-    }
-
     /// Builds the request that is sent to an endpoint.
     pub fn outgoing(
         &self,
@@ -372,6 +380,7 @@
         .remaining
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let prior_wait = pipeline.prior_wait(&route, timeout, origin);
     let workspace = allowed.workspace;
     let fingerprint = hasher.finish(&head.method, &host, &head.uri, workspace);
     let segments = metadata.segments.iter().copied().map(Suspect::Segment);
@@ -391,6 +400,7 @@
         priority: allowed.priority,
         arrived,
         deadline: arrived + timeout,
+        prior_wait,
         route,
     })
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -161,6 +161,7 @@
             clock,
             domain,
             rng: Mutex::new(rng),
+            patience: Mutex::default(),
         });
         let follower = Arc::new(Follower {
             store: dependencies.store,
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -198,11 +198,7 @@
         let request = Request {
             prompt_tokens: self.prompt_tokens,
             answer_tokens: self.answer_tokens,
-            due: accepted.arrived
-                + accepted
-                    .route
-                    .objective
-                    .saturating_sub(accepted.prior_wait()),
+            due: accepted.arrived + accepted.route.objective.saturating_sub(accepted.prior_wait),
             deadline: accepted.deadline,
             pause: self.max_pause(),
             priority: accepted.priority,
@@ -211,7 +207,7 @@
             origin: Origin {
                 kind: accepted.route.name.clone(),
                 workspace: accepted.workspace.clone(),
-                prior_wait: accepted.prior_wait(),
+                prior_wait: accepted.prior_wait,
             },
         };
         let placing = self.pipeline.placer.place(&accepted.service, request);
