Read long prompts on the engines that are free if they are in time there

Cause: a prompt waited until as many engines were free at once as parts of 450 ms need, seven for a review of mean size. In the seconds with reviews only half of the engines read while reviews waited, blocked those behind them, and were given up. Change: if there is no plan with parts of the preferred length, parts may take nine tenths of the time until the prompt is due.

--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -19,9 +19,9 @@
 const MAX_ENGINES: usize = 17;
 /// Minimum prefill time of a prompt part that justifies another engine.
 pub(super) const MIN_PART_MS: f64 = 60.0;
-/// Maximum prefill time of a part on one engine. Longer parts delay the next requests on that
-/// engine. The limit is raised if the prompt would need more than `MAX_ENGINES` or more engines
-/// than are expected to be free.
+/// Preferred maximum prefill time of a part on one engine. Longer parts delay the next requests on
+/// that engine. The limit is raised if the prompt would need more than `MAX_ENGINES` or more engines
+/// than are expected to be free, and again if fewer engines are free now.
 const MAX_PART_MS: f64 = 450.0;
 /// Fraction of the engines that are expected to be free for a prompt.
 const FREE_SHARE: f64 = 0.8;
@@ -37,6 +37,9 @@
 const WAIT_DOUBLING_MS: f64 = 2_000.0;
 /// Maximum factor by which the maximum part and backlog are raised.
 const MAX_RELAXATION: f64 = 2.0;
+/// Share of the time that a request has left which a plan with longer parts may take to the first
+/// event. The rest is for errors of the prediction.
+const TIME_SHARE: f64 = 0.9;
 /// Time to the first event that each additional engine must save.
 const EXTRA_ENGINE_MS: f64 = 40.0;
 /// Fraction of the allowed pause that a predicted pass may use.
@@ -141,6 +144,16 @@
     ((total_ms / MAX_PART_MS).ceil() as usize).clamp(1, MAX_ENGINES)
 }
 
+/// Prefill time of a prompt on one engine, and limits of the plans for it, in milliseconds.
+#[derive(Clone, Copy)]
+struct Bounds {
+    prefill: f64,
+    /// Maximum prefill time of a part.
+    max_part: f64,
+    /// Maximum prefill backlog of an engine that prefills the whole prompt.
+    max_backlog: f64,
+}
+
 /// Values of an engine that do not depend on the number of parts, computed once per plan.
 struct Estimate<'a> {
     engine: &'a Engine,
@@ -166,7 +179,9 @@
     /// Returns the plan with the lowest cost that delays no running stream beyond its pause, or
     /// `None` if there is none now.
     ///
-    /// The limits on parts and backlog are relaxed with the time that the request has `waited`.
+    /// The limits on parts and backlog are relaxed with the time that the request has `waited`. If
+    /// too few engines are free for parts of the preferred length, parts are as long as the request's
+    /// time allows: waiting for more engines would leave the free ones idle.
     pub fn plan(&self, request: &Request, waited: Duration) -> Option<Plan> {
         let total_ms = self.speed.prefill_ms(request.prompt_tokens);
         let expected_free = as_f64(self.engines.len() as u64) * FREE_SHARE;
@@ -180,20 +195,49 @@
             .filter(|engine| !request.excluded.contains(&engine.identity))
             .map(|engine| self.estimate(engine, request))
             .collect();
+        let bounds = Bounds {
+            prefill: total_ms,
+            max_part: max_part_ms,
+            max_backlog: MAX_BACKLOG_MS * relaxation,
+        };
+        let longer = Bounds {
+            max_part: self.time_left_ms(request) * TIME_SHARE,
+            ..bounds
+        };
+        let plan = self.cheapest(&estimates, request, &bounds);
+        if plan.is_some() || bounds.max_part >= longer.max_part.min(total_ms) {
+            return plan;
+        }
+        let plan = self.cheapest(&estimates, request, &longer);
+        plan.filter(|plan| plan.first_event <= duration_from_ms(longer.max_part))
+    }
+
+    /// Returns the milliseconds until the first event is due or, once it is overdue, until the
+    /// deadline.
+    fn time_left_ms(&self, request: &Request) -> f64 {
+        let end = if request.due > self.now {
+            request.due
+        } else {
+            request.deadline
+        };
+        end.since(self.now).as_secs_f64() * 1_000.0
+    }
+
+    /// Returns the plan with the lowest cost over all numbers of engines.
+    fn cheapest(
+        &self,
+        estimates: &[Estimate<'_>],
+        request: &Request,
+        bounds: &Bounds,
+    ) -> Option<Plan> {
         let mut best: Option<(f64, Plan)> = None;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let max_count = ((total_ms / MIN_PART_MS) as usize).clamp(1, MAX_ENGINES);
+        let max_count = ((bounds.prefill / MIN_PART_MS) as usize).clamp(1, MAX_ENGINES);
         for count in 1..=max_count {
-            if total_ms / as_f64(count as u64) > max_part_ms {
+            if bounds.prefill / as_f64(count as u64) > bounds.max_part {
                 continue;
             }
-            let Some(plan) = self.split(
-                &estimates,
-                request,
-                count,
-                total_ms / as_f64(count as u64),
-                relaxation,
-            ) else {
+            let Some(plan) = self.split(estimates, request, count, bounds) else {
                 continue;
             };
             let extra = f64::from(u32::try_from(count - 1).unwrap_or(u32::MAX));
@@ -237,13 +281,13 @@
         estimates: &[Estimate<'_>],
         request: &Request,
         count: usize,
-        part_ms: f64,
-        relaxation: f64,
+        bounds: &Bounds,
     ) -> Option<Plan> {
+        let part_ms = bounds.prefill / as_f64(count as u64);
         let max_backlog_ms = if count > 1 {
             MAX_UNREAD_MS
         } else {
-            MAX_BACKLOG_MS * relaxation
+            bounds.max_backlog
         };
         let mut candidates: Vec<_> = estimates
             .iter()
