--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -139,6 +139,11 @@
         self.excluded.push(endpoint);
     }
 
+    /// Excludes endpoints from further attempts.
+    pub fn exclude(&mut self, endpoints: impl IntoIterator<Item = Identity>) {
+        self.excluded.extend(endpoints);
+    }
+
     /// Records that nothing was sent to the endpoint, and excludes it. Unlike a rejected attempt,
     /// this one does not count as sent.
     pub fn record_unsent(&mut self, endpoint: Identity) {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -382,6 +382,7 @@
                 self.log_send(&engine, "not_run", head.status.as_str());
                 let at_fault = named.unwrap_or_else(|| engine.identity());
                 self.attempts.record_rejected(at_fault);
+                self.exclude_unreached(&engine, at_fault);
                 self.end_probe();
                 return Err(None);
             }
@@ -404,6 +405,22 @@
         })
     }
 
+    /// Excludes the failure domain of a helper that the engine `primary` could not use, if it is not
+    /// the engine's own. While the links between the two domains are down, each other helper there
+    /// would cost one more rejection.
+    fn exclude_unreached(&mut self, primary: &Entry, at_fault: Identity) {
+        let registry = &self.pipeline.registry;
+        let service = &self.accepted.service;
+        let Some(helper) = registry.endpoint(service, at_fault) else {
+            return;
+        };
+        if helper.domain != primary.domain {
+            let mut entries = registry.registered(service);
+            entries.retain(|entry| entry.domain == helper.domain);
+            self.attempts.exclude(entries.iter().map(Entry::identity));
+        }
+    }
+
     /// Records an attempt of which nothing was sent.
     fn record_unsent(&mut self, engine: &Entry, observation: Observation, reason: &str) {
         self.log_send(engine, "unsent", reason);
