Probe failure domains that owe answers, and avoid them until a probe is answered

Cause: in the first 1.5 s of a cut, two of three requests of a host hung in the domains that it could not reach. A domain was avoided after three requests had timed out there, for 1.5 s, and then tried again with requests. Change: when a stream's event is later than the allowed pause, or an endpoint does not answer, three endpoints of its domain are probed.

--- a/crates/kernel/src/balance.rs
+++ b/crates/kernel/src/balance.rs
@@ -8,7 +8,7 @@
 use crate::clock::Instant;
 use crate::cold::Phase;
 use crate::name::Domain;
-use crate::outlier::{Health, Observation};
+use crate::outlier::{DomainHealth, Health, Observation};
 use crate::pace::{Pacer, Rate};
 use crate::place::path::Paths;
 
@@ -30,6 +30,7 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     endpoints: HashMap<Identity, Stats>,
+    domains: DomainHealth,
     paths: Option<Arc<Paths>>,
 }
 
@@ -60,6 +61,7 @@
             .iter()
             .copied()
             .filter(|entry| !self.is_ejected(entry.identity(), now))
+            .filter(|entry| !self.domains.is_ejected(&entry.domain, now))
             .collect();
         let candidates = if healthy.is_empty() { all } else { healthy };
         let (limited, unlimited): (Vec<_>, Vec<_>) = candidates
@@ -78,6 +80,11 @@
             .map(|(_, entry)| entry)
     }
 
+    /// Records that `reached` of `probed` endpoints of `domain` accepted a connection.
+    pub fn record_probes(&mut self, domain: &Domain, reached: usize, probed: usize, now: Instant) {
+        self.domains.record_probes(domain, reached, probed, now);
+    }
+
     fn running(&self, entry: &Entry) -> u32 {
         let stats = self.endpoints.get(&entry.identity());
         stats.map_or(0, |stats| stats.running)
--- a/crates/kernel/src/outlier.rs
+++ b/crates/kernel/src/outlier.rs
@@ -20,7 +20,10 @@
 const UNRESPONSIVE_ENDPOINTS: usize = 3;
 /// Time window in which these endpoints must be observed as unresponsive.
 const DOMAIN_WINDOW: Duration = Duration::from_secs(2);
-/// Duration of the ejection of a failure domain; afterwards its endpoints are tried again.
+/// Number of endpoints of a failure domain that are probed at the same time.
+pub const DOMAIN_PROBES: usize = UNRESPONSIVE_ENDPOINTS;
+/// Duration of the ejection of a failure domain unless probes renew or end it; afterwards its
+/// endpoints are tried again.
 const DOMAIN_EJECTION: Duration = Duration::from_millis(1_500);
 
 /// Observed result of a request to an endpoint.
@@ -72,6 +75,18 @@
         }
     }
 
+    /// Records that `reached` of `probed` endpoints of `domain` accepted a connection.
+    ///
+    /// One that does is enough to show that the domain can be reached.
+    pub fn record_probes(&mut self, domain: &Domain, reached: usize, probed: usize, now: Instant) {
+        if reached > 0 {
+            self.unresponsive.remove(domain);
+            self.ejected.remove(domain);
+        } else if probed >= DOMAIN_PROBES {
+            self.ejected.insert(domain.clone(), now + DOMAIN_EJECTION);
+        }
+    }
+
     /// Ends ejections that began at `since` or later, and drops observations from then on.
     pub fn forgive(&mut self, since: Instant) {
         for observed in self.unresponsive.values_mut() {
--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -186,6 +186,12 @@
         }
     }
 
+    /// Records that `reached` of `probed` engines of `domain` accepted a connection.
+    pub fn record_probes(&mut self, domain: &Domain, reached: usize, probed: usize, now: Instant) {
+        self.domain_health
+            .record_probes(domain, reached, probed, now);
+    }
+
     /// Drops failures recorded at `since` or later, which were due to this host's own link.
     pub fn forgive(&mut self, since: Instant) {
         for engine in self.engines.values_mut() {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,6 +1,6 @@
 //! Watches whether this host reaches the endpoints, and knows which other hosts do.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,9 +8,11 @@
 
 use futures_util::future::join_all;
 use kernel::balance::Balancer;
+use kernel::catalogue::Entry;
 use kernel::clock::Instant;
 use kernel::detour::{self, Finding, Peers};
-use kernel::name::Host;
+use kernel::name::{Domain, Host};
+use kernel::outlier::DOMAIN_PROBES;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -59,6 +61,8 @@
     /// Whether other hosts can connect to this one.
     is_listening: bool,
     suspected: Notify,
+    /// Failure domains whose endpoints owe answers or could not be reached.
+    doubted: Mutex<BTreeSet<Domain>>,
     schedule: Mutex<Schedule>,
     /// The other hosts that serve requests of this one.
     pub peers: Mutex<Peers>,
@@ -111,6 +115,7 @@
             is_draining: AtomicBool::new(false),
             is_listening,
             suspected: Notify::new(),
+            doubted: Mutex::default(),
             schedule: Mutex::new(Schedule {
                 repeat_until: clock.now() + REPEATED,
                 sent_at: None,
@@ -157,10 +162,42 @@
         self.suspected.notify_one();
     }
 
+    /// Records that an endpoint of `domain` owes an answer or could not be reached, so that probes show
+    /// whether the domain can be reached.
+    pub fn doubt(&self, domain: &Domain) {
+        self.doubted.lock().insert(domain.clone());
+        self.suspected.notify_one();
+    }
+
+    /// Probes the failure domains that are in doubt. Those that are not reached are avoided and stay
+    /// in doubt.
+    async fn probe_domains(&self) {
+        let doubted = self.doubted.lock().clone();
+        let probes = doubted.iter().map(|domain| async move {
+            let addresses = self.choose(DOMAIN_PROBES, |entry| entry.domain == *domain);
+            let (reached, probed) = self.probe_all(&addresses).await;
+            (domain, reached, probed)
+        });
+        for (domain, reached, probed) in join_all(probes).await {
+            observe::count_probes(probed);
+            let now = self.clock.now();
+            let mut balancer = self.balancer.lock();
+            balancer.record_probes(domain, reached, probed, now);
+            drop(balancer);
+            self.placer.record_probes(domain, reached, probed);
+            if reached > 0 || probed < DOMAIN_PROBES {
+                self.doubted.lock().remove(domain);
+            } else {
+                log::info!("event=domain_silent domain={domain} probed={probed}");
+            }
+        }
+    }
+
     /// Whether this host reaches an endpoint other than the one at `except`, or there is none.
     pub async fn reaches_other(&self, except: SocketAddr) -> bool {
         for size in [1, detour::ROUND] {
-            let (reached, probed) = self.probe(size, Some(except)).await;
+            let addresses = self.choose(size, |entry| entry.address != except);
+            let (reached, probed) = self.probe_all(&addresses).await;
             if reached > 0 || probed == 0 {
                 return true;
             }
@@ -171,9 +208,10 @@
     /// Probes endpoints when requests fail, and while the host is cut off. Never returns.
     pub async fn watch(self: Arc<Self>, hosts: Arc<Hosts>) {
         loop {
-            if !self.is_cut() {
+            if !self.is_cut() && self.doubted.lock().is_empty() {
                 self.suspected.notified().await;
             }
+            self.probe_domains().await;
             while self.run_round(&hosts).await {}
             let interval = self.link.lock().interval();
             sleep(interval).await;
@@ -183,7 +221,7 @@
     /// Probes endpoints once; returns whether another round is needed at once.
     async fn run_round(&self, hosts: &Hosts) -> bool {
         let size = self.link.lock().round_size();
-        let (reached, probed) = self.probe(size, None).await;
+        let (reached, probed) = self.probe_all(&self.choose(size, |_| true)).await;
         observe::count_probes(probed);
         let now = self.clock.now();
         let finding = self.link.lock().record_round(reached, probed, now);
@@ -208,22 +246,21 @@
         false
     }
 
-    /// Probes up to `size` endpoints at the same time; returns how many were reached, and how many
-    /// probed.
-    async fn probe(&self, size: usize, except: Option<SocketAddr>) -> (usize, usize) {
-        let addresses = self.choose(size, except);
+    /// Probes endpoints at the same time; returns how many were reached, and how many probed.
+    async fn probe_all(&self, addresses: &[SocketAddr]) -> (usize, usize) {
         let probes = addresses.iter().map(|address| self.dialer.probe(*address));
         let results = join_all(probes).await;
         let accepts = |result: &&Reachability| **result == Reachability::Accepts;
         (results.iter().filter(accepts).count(), results.len())
     }
 
-    /// Chooses endpoints at random, from as many failure domains as possible.
-    fn choose(&self, size: usize, except: Option<SocketAddr>) -> Vec<SocketAddr> {
+    /// Chooses up to `size` of the endpoints that `fits` at random, from as many failure domains as
+    /// possible.
+    fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<SocketAddr> {
         let mut endpoints: Vec<_> = self.registry.with_directory(|directory| {
             let entries = directory.entries();
-            let others = entries.filter(|entry| Some(entry.address) != except);
-            others
+            entries
+                .filter(|entry| fits(entry))
                 .map(|entry| (entry.domain.clone(), entry.address))
                 .collect()
         });
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -339,6 +339,14 @@
         std::mem::take(&mut *self.failures.lock())
     }
 
+    /// Records that `reached` of `probed` endpoints of `domain` accepted a connection.
+    pub fn record_probes(&self, domain: &Domain, reached: usize, probed: usize) {
+        let now = self.clock.now();
+        for queue in self.queues.lock().values_mut() {
+            queue.pool.record_probes(domain, reached, probed, now);
+        }
+    }
+
     /// Drops failures recorded at `since` or later, which were due to this host's own link.
     pub fn forgive(&self, since: Instant) {
         for queue in self.queues.lock().values_mut() {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -271,6 +271,9 @@
     ) {
         pipeline.links.suspect();
     }
+    if matches!(result, Outcome::Unsent(..) | Outcome::Uncertain(_)) {
+        pipeline.links.doubt(&entry.domain);
+    }
     let is_cut = pipeline.links.is_cut();
     let record = |seen| {
         // Failures of a host without links say nothing about the endpoint.
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -8,7 +8,7 @@
 use kernel::event::Splitter;
 use kernel::outlier::Observation;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{FIRST_EVENT_SLACK, Session, Upstream};
 use crate::attempts::GiveUp;
@@ -263,6 +263,8 @@
         let mut last_event = self.pipeline.clock.now();
         // Since when the engine owes an event. Waiting for a slow client does not count.
         let mut waiting_since = last_event;
+        // Whether the engine's failure domain is in doubt since the last bytes.
+        let mut is_doubted = false;
         loop {
             let remaining = self.accepted.deadline.since(self.pipeline.clock.now());
             let limit = if started {
@@ -276,10 +278,17 @@
             } else {
                 limit.saturating_sub(self.pipeline.clock.now().since(waiting_since))
             };
+            let since_event = self.pipeline.clock.now().since(waiting_since);
             let next = tokio::select! {
                 next = timeout(event_timeout.min(remaining), upstream.exchange.next()) => next,
                 () = sender.closed() => return End::ClientDisconnected,
+                () = sleep(self.max_pause().saturating_sub(since_event)), if started && !is_doubted => {
+                    self.pipeline.links.doubt(&upstream.engine.domain);
+                    is_doubted = true;
+                    continue;
+                }
             };
+            is_doubted = false;
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) => return end_of_body(&upstream.exchange, splitter),
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -446,6 +446,9 @@
     fn record_observation(&self, engine: &Entry, observation: Observation) {
         if observation != Observation::Succeeded {
             self.pipeline.links.suspect();
+            if observation == Observation::Unresponsive {
+                self.pipeline.links.doubt(&engine.domain);
+            }
             if self.pipeline.links.is_cut() {
                 // Failures of a host without links say nothing about the engine.
                 return;
