--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -9,6 +9,7 @@
 //! their delay costs callers ([`value`], [`queue`]).
 
 mod claim;
+mod cost;
 mod engine;
 pub mod path;
 mod plan;
--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -1,12 +1,10 @@
 //! Chooses the engines for one request by predicted time to the first event and the effect on
 //! running streams.
-//!
-//! A stream is latency-sensitive if its events may pause for at most `SENSITIVE_PAUSE`, and
-//! latency-tolerant otherwise.
 
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::cost::Reading;
 use super::engine::{Engine, Load};
 use super::path::{Paths, Price, Stream};
 use super::speed::{Speed, as_f64, duration_from_ms};
@@ -44,26 +42,6 @@
 const EXTRA_ENGINE_MS: f64 = 40.0;
 /// Fraction of the allowed pause that a predicted pass may use.
 const PAUSE_SHARE: f64 = 0.8;
-/// Maximum allowed pause of latency-sensitive streams, which are placed together on engines.
-const SENSITIVE_PAUSE: Duration = Duration::from_millis(300);
-/// Predicted time to the first event up to which more latency-sensitive streams are packed on an
-/// engine at no cost.
-const PACKED_FIRST_EVENT_MS: f64 = 170.0;
-/// Weight of the fill order for latency-sensitive streams, which keeps the other engines free.
-const SENSITIVE_FILL_ORDER_MS: f64 = 100.0;
-/// Cost of placing a latency-sensitive stream on an engine without such streams.
-const NEW_ENGINE_MS: f64 = 100.0;
-/// Cost of placing a latency-tolerant stream or its prefill on an engine with latency-sensitive
-/// streams, or a latency-sensitive stream on an engine with only latency-tolerant ones.
-const MIXING_MS: f64 = 400.0;
-/// Cost of an engine that names a limit: it is used if no other engine has room.
-const LIMITED_MS: f64 = 1_000.0;
-/// Cost of a cold engine, beyond its longer times: engines that are warm come first while they have
-/// room. Small against the cost of mixing, so that warm engines are not overloaded when all engines
-/// of a failure domain are cold.
-const COLD_MS: f64 = 100.0;
-/// Weight of the fill order for latency-tolerant streams, which fill the engines in reverse order.
-const TOLERANT_FILL_ORDER_MS: f64 = 30.0;
 /// Fraction of an engine's memory that plans may use, because predictions and reports lag behind.
 const MEMORY_SHARE: f64 = 0.97;
 
@@ -338,7 +316,6 @@
         }
         let backlog = estimate.backlog_ms;
         let (pass, shortest_pause) = (estimate.pass_ms, estimate.shortest_pause);
-        let has_sensitive = shortest_pause.is_some_and(|pause| pause <= SENSITIVE_PAUSE);
         if let Some(pause) = shortest_pause
             && pass + backlog + part_ms > pause.as_secs_f64() * 1_000.0 * PAUSE_SHARE
         {
@@ -350,26 +327,20 @@
             0.0
         };
         let primary_ms = backlog + pass_wait + part_ms;
-        let mut cost = if request.pause <= SENSITIVE_PAUSE {
-            let event_ms = primary_ms + pass + estimate.path.delay_ms;
-            sensitive_cost(engine, event_ms, has_sensitive)
-        } else {
-            let mixing = if has_sensitive { MIXING_MS } else { 0.0 };
-            backlog + pass + mixing + (1.0 - engine.fill_order) * TOLERANT_FILL_ORDER_MS
+        let reading = Reading {
+            engine,
+            backlog_ms: backlog,
+            pass_ms: pass,
+            event_ms: primary_ms + pass + estimate.path.delay_ms,
+            is_cold: engine.pacer.is_cold(self.now),
         };
-        cost += estimate.path.cost_ms + estimate.opening_ms;
-        if engine.pacer.limit().is_some() {
-            cost += LIMITED_MS;
-        }
-        if engine.pacer.is_cold(self.now) {
-            cost += COLD_MS;
-        }
+        let path_cost = estimate.path.cost_ms + estimate.opening_ms;
         Some(Candidate {
             engine,
             primary_ms,
             helper_ms: pass_wait + part_ms,
             path_ms: estimate.path.delay_ms,
-            cost,
+            cost: reading.cost(request.pause) + path_cost,
         })
     }
 
@@ -480,16 +451,3 @@
         self.now + duration_from_ms(millis)
     }
 }
-
-/// Returns the cost of a latency-sensitive stream on an engine.
-///
-/// The cost packs such streams on few engines while their first events are early enough.
-fn sensitive_cost(engine: &Engine, event_ms: f64, has_sensitive: bool) -> f64 {
-    let excess = (event_ms - PACKED_FIRST_EVENT_MS).max(0.0);
-    let new_engine = match (has_sensitive, engine.decoding()) {
-        (true, _) => 0.0,
-        (false, 0) => NEW_ENGINE_MS,
-        (false, _) => NEW_ENGINE_MS + MIXING_MS,
-    };
-    excess + new_engine + engine.fill_order * SENSITIVE_FILL_ORDER_MS
-}
