Give longer parts only to prompts that can still be in time

Cause: a late prompt could take the few free engines until its deadline. Change: a late prompt starts only with parts of the preferred length.

--- a/crates/kernel/src/place/plan.rs
+++ b/crates/kernel/src/place/plan.rs
@@ -35,7 +35,7 @@
 const WAIT_DOUBLING_MS: f64 = 2_000.0;
 /// Maximum factor by which the maximum part and backlog are raised.
 const MAX_RELAXATION: f64 = 2.0;
-/// Share of the time that a request has left which a plan with longer parts may take to the first
+/// Share of the time until a request is due which a plan with longer parts may take to the first
 /// event. The rest is for errors of the prediction.
 const TIME_SHARE: f64 = 0.9;
 /// Time to the first event that each additional engine must save.
@@ -158,8 +158,9 @@
     /// `None` if there is none now.
     ///
     /// The limits on parts and backlog are relaxed with the time that the request has `waited`. If
-    /// too few engines are free for parts of the preferred length, parts are as long as the request's
-    /// time allows: waiting for more engines would leave the free ones idle.
+    /// too few engines are free for parts of the preferred length, parts are as long as the objective
+    /// allows: waiting for more engines would leave the free ones idle. A late prompt waits for more
+    /// engines, because it would hold the free ones for longest.
     pub fn plan(&self, request: &Request, waited: Duration) -> Option<Plan> {
         let total_ms = self.speed.prefill_ms(request.prompt_tokens);
         let expected_free = as_f64(self.engines.len() as u64) * FREE_SHARE;
@@ -179,7 +180,7 @@
             max_backlog: MAX_BACKLOG_MS * relaxation,
         };
         let longer = Bounds {
-            max_part: self.time_left_ms(request) * TIME_SHARE,
+            max_part: request.due.since(self.now).as_secs_f64() * 1_000.0 * TIME_SHARE,
             ..bounds
         };
         let plan = self.cheapest(&estimates, request, &bounds);
@@ -190,17 +191,6 @@
         plan.filter(|plan| plan.first_event <= duration_from_ms(longer.max_part))
     }
 
-    /// Returns the milliseconds until the first event is due or, once it is overdue, until the
-    /// deadline.
-    fn time_left_ms(&self, request: &Request) -> f64 {
-        let end = if request.due > self.now {
-            request.due
-        } else {
-            request.deadline
-        };
-        end.since(self.now).as_secs_f64() * 1_000.0
-    }
-
     /// Returns the plan with the lowest cost over all numbers of engines.
     fn cheapest(
         &self,
