Let requests wait for the configuration while a host starts

Cause: a host that has restarted refuses what arrives before it has read the configuration, 20 ms later. Change: in the first 300 ms after its start, a host lets requests wait until it can serve.

--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -41,6 +41,11 @@
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after its start within which a host usually knows the configuration and the endpoints. What
+/// arrives earlier waits for them: the clients of a host that restarts come back all at once, and many
+/// of them only once.
+const START_TIME: Duration = Duration::from_millis(300);
+
 /// Shortest `Retry-After` while all endpoints of a service are evacuated. When they are taken back is
 /// not known.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -79,6 +84,8 @@
     pub memory: Arc<dyn Memory>,
     /// Monotonic clock.
     pub clock: Clock,
+    /// Time at which the host started.
+    pub started: Instant,
     /// This host's failure domain.
     pub domain: Domain,
     /// Random number generator for the choice of a route's service.
@@ -296,6 +303,10 @@
     origin: Origin,
 ) -> Response<Body> {
     let arrived = pipeline.clock.now();
+    let starting = (pipeline.started + START_TIME).since(arrived);
+    if !starting.is_zero() {
+        pipeline.registry.wait_until_serving(starting).await;
+    }
     match accept(&pipeline, request, origin, arrived).await {
         Err(response) => {
             observe::count_request(None, response.status());
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -10,6 +10,8 @@
 use kernel::evacuation::Evacuations;
 use kernel::name::{Domain, Endpoint, Service};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// The configuration, the endpoints and the evacuated failure domains.
 ///
@@ -21,6 +23,8 @@
     catalogue: Mutex<Catalogue>,
     directory: Mutex<Directory>,
     evacuations: Mutex<Evacuations>,
+    /// Wakes the requests that wait until the host can serve.
+    changed: Notify,
 }
 
 impl Registry {
@@ -32,6 +36,7 @@
             catalogue: Mutex::default(),
             directory: Mutex::new(Directory::new(registration_ttl)),
             evacuations: Mutex::default(),
+            changed: Notify::new(),
         }
     }
 
@@ -49,17 +54,23 @@
 
     /// Puts a configuration in force if its version is newer; returns whether it was.
     pub fn update(&self, configuration: Configuration) -> bool {
-        self.catalogue.lock().update(configuration)
+        let updated = self.catalogue.lock().update(configuration);
+        self.changed.notify_waiters();
+        updated
     }
 
     /// Calls `access` with the endpoints locked.
     pub fn with_directory<T>(&self, access: impl FnOnce(&mut Directory) -> T) -> T {
-        access(&mut self.directory.lock())
+        let result = access(&mut self.directory.lock());
+        self.changed.notify_waiters();
+        result
     }
 
     /// Calls `access` with the evacuated failure domains locked.
     pub fn with_evacuations<T>(&self, access: impl FnOnce(&mut Evacuations) -> T) -> T {
-        access(&mut self.evacuations.lock())
+        let result = access(&mut self.evacuations.lock());
+        self.changed.notify_waiters();
+        result
     }
 
     /// Returns the evacuated failure domains.
@@ -151,6 +162,23 @@
             && self.directory.lock().entries().next().is_some()
     }
 
+    /// Waits until the host can serve, for at most `limit`.
+    pub async fn wait_until_serving(&self, limit: Duration) {
+        let serving = async {
+            loop {
+                let changed = self.changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                if self.can_serve() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // The caller finds out whether the host can serve.
+        let _ = timeout(limit, serving).await;
+    }
+
     /// Handles the removal of an endpoint's entry; returns whether the endpoint is gone at once.
     pub fn remove(&self, name: &Endpoint, now: Instant) -> bool {
         self.directory.lock().remove(name, now)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -159,6 +159,7 @@
             dialect: dependencies.dialect,
             memory: dependencies.memory,
             clock,
+            started: clock.now(),
             domain,
             rng: Mutex::new(rng),
             patience: Mutex::default(),
