--- a/crates/kernel/src/place/engine.rs
+++ b/crates/kernel/src/place/engine.rs
@@ -12,6 +12,10 @@
 use crate::outlier::Health;
 use crate::pace::Pacer;
 
+/// Upper limit for the tokens of a request or load: a thousand times the longest prompts, and small
+/// enough that sums do not overflow.
+pub(super) const MAX_TOKENS: u64 = 1_000_000_000;
+
 /// Identifies the loads of one request: the host's incarnation and a sequence number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LoadId {
--- a/crates/kernel/src/place/mod.rs
+++ b/crates/kernel/src/place/mod.rs
@@ -11,6 +11,7 @@
 mod claim;
 mod cost;
 mod engine;
+mod loads;
 pub mod path;
 mod plan;
 pub mod policy;
