--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -108,6 +108,12 @@
         self.sent
     }
 
+    /// Number of endpoints on which the route still allows the request to run.
+    #[must_use]
+    pub const fn runs_left(&self) -> u32 {
+        self.runs_left
+    }
+
     /// Whether the route allows another attempt. The retry budget is not checked.
     #[must_use]
     pub const fn allowed(&self) -> bool {
--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -5,7 +5,8 @@
 use kernel::place::LoadId;
 use kernel::quarantine::{EVENTS_AT_START, Suspect};
 
-use crate::pipeline::{Accepted, Pipeline};
+use crate::accepted::Accepted;
+use crate::pipeline::Pipeline;
 use crate::quarantine::Crashed;
 use crate::transport::Reachability;
 
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -16,13 +16,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::accepted::Accepted;
 use crate::adapter::ResponseClass;
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::{Body, Error};
 use crate::headers::end_to_end;
 use crate::link::Links;
 use crate::observe;
-use crate::pipeline::{Accepted, Pipeline};
+use crate::pipeline::Pipeline;
 use crate::plain::{MAX_RESPONSE_BYTES, build_response};
 use crate::transport::{Exchange, Failure};
 
@@ -153,11 +154,11 @@
         let (name, reason) = match outcome {
             Outcome::Stream(upstream) => {
                 attempts.record_detour();
-                log_outcome(accepted, &host, "served", "");
+                log_outcome(accepted, attempts, &host, "served", "");
                 return Asked::Stream(upstream);
             }
             Outcome::Response(response) => {
-                log_outcome(accepted, &host, "served", "");
+                log_outcome(accepted, attempts, &host, "served", "");
                 return Asked::Response(response);
             }
             Outcome::Refused(refusal) => {
@@ -177,7 +178,7 @@
                 ("uncertain", reason)
             }
         };
-        log_outcome(accepted, &host, name, &reason);
+        log_outcome(accepted, attempts, &host, name, &reason);
     }
     if let Some(response) = response {
         return Asked::Response(response);
@@ -195,11 +196,19 @@
     Asked::Response(attempts.final_response(give_up))
 }
 
-fn log_outcome(accepted: &Accepted, host: &Host, outcome: &'static str, reason: &str) {
+fn log_outcome(
+    accepted: &Accepted,
+    attempts: &Attempts,
+    host: &Host,
+    outcome: &'static str,
+    reason: &str,
+) {
     observe::count_detour(outcome);
     log::info!(
-        "event=detour request={} host={host} outcome={outcome} reason=\"{reason}\"",
-        accepted.id()
+        "event=detour request={} host={host} outcome={outcome} sends={} runs_left={} reason=\"{reason}\"",
+        accepted.id(),
+        attempts.sent(),
+        attempts.runs_left()
     );
 }
 
@@ -298,7 +307,7 @@
                     Ok(()) => return,
                     Err(reason) => {
                         self.pipeline.record_peer_failure(&host);
-                        log_outcome(&self.accepted, &host, "broken", &reason);
+                        log_outcome(&self.accepted, &self.attempts, &host, "broken", &reason);
                     }
                 }
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! selects an endpoint and forwards the request over [`transport`]. The traits of [`adapter`]
 //! abstract the platform. The kernel crate makes every decision.
 
+pub mod accepted;
 pub mod adapter;
 mod admin;
 pub mod attempts;
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -5,23 +5,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HeaderValue;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::{HeaderMap, Request, Response, StatusCode, Uri, response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kernel::balance::Balancer;
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
-use kernel::fingerprint::Fingerprint;
-use kernel::name::{Domain, Host, Service, Workspace};
+use kernel::name::{Domain, Host, Service};
 use kernel::patience::Patience;
 use kernel::quarantine::Suspect;
-use kernel::segment;
 use parking_lot::Mutex;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::adapter::{Dialect, Forwarding, Memory, Metadata};
+use crate::accepted::{Accepted, Origin};
+use crate::adapter::{Dialect, Memory, Metadata};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
 use crate::budget::Budgets;
@@ -191,111 +189,6 @@
     }
 }
 
-/// Who sent a request to this host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A client.
-    Client,
-    /// Another host, which is cut off from the endpoints.
-    Host,
-}
-
-/// A request that was read, routed and admitted.
-#[derive(Clone)]
-pub(crate) struct Accepted {
-    pub origin: Origin,
-    /// Whether another host has counted the request in its retry budget.
-    pub is_counted: bool,
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    pub metadata: Metadata,
-    /// The same for all requests with this caller, method, path and body.
-    pub fingerprint: Fingerprint,
-    /// What may crash endpoints: the shared segments of the prompt, and the request.
-    pub suspects: Vec<Suspect>,
-    pub route: Arc<Route>,
-    pub service: Service,
-    pub workspace: Option<Workspace>,
-    pub priority: u32,
-    pub arrived: Instant,
-    pub deadline: Instant,
-    /// Estimate of how long the client has waited before this attempt.
-    pub prior_wait: Duration,
-}
-
-impl Accepted {
-    /// The client's request identifier for logs, or `-` if the client sent none.
-    pub fn id(&self) -> &str {
-        self.metadata.id.as_deref().unwrap_or("-")
-    }
-
-    /// Counts and logs that the request is given up.
-    pub fn log_give_up(&self, attempts: &Attempts, give_up: GiveUp, now: Instant) {
-        observe::count_given_up(give_up.as_str());
-        let tokens = self.metadata.tokens.map_or(0, |(prompt, _)| prompt);
-        log::info!(
-            "event=gave_up request={} service={} prompt={tokens} sends={} after_ms={} left_ms={} reason=\"{}\"",
-            self.id(),
-            self.service,
-            attempts.sent(),
-            now.since(self.arrived).as_millis(),
-            self.deadline.since(now).as_millis(),
-            give_up.as_str()
-        );
-    }
-
-    /// Logs that an endpoint has run the request to the end, and sent this many events.
-    pub fn log_completed(&self, endpoint: &Entry, events: u64) {
-        log::info!(
-            "event=completed request={} endpoint={} events={events} fingerprint={}",
-            self.id(),
-            endpoint.name,
-            self.fingerprint
-        );
-    }
-
-    /// The shared segments of the prompt for logs, or `-` if there are none.
-    pub fn segments(&self) -> String {
-        segment::format_list(&self.metadata.segments)
-    }
-
-    /// Builds the request that is sent to an endpoint.
-    pub fn outgoing(
-        &self,
-        dialect: &dyn Dialect,
-        forwarding: &Forwarding<'_>,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = dialect.build_headers(&self.headers, forwarding);
-        request
-    }
-
-    /// Builds the request that is sent to another host: the client's own, with the time that is left
-    /// and the event after which a resumed stream continues.
-    pub fn detoured(
-        &self,
-        dialect: &dyn Dialect,
-        remaining: Duration,
-        resume_after: Option<&str>,
-        is_counted: bool,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        dialect.set_progress(request.headers_mut(), remaining, resume_after);
-        if is_counted {
-            let value = HeaderValue::from_static("1");
-            request.headers_mut().insert(detour::COUNTED, value);
-        }
-        request
-    }
-}
-
 /// Handles one request and returns its response.
 pub async fn handle(
     pipeline: Arc<Pipeline>,
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -11,13 +11,14 @@
 use rand::Rng;
 use tokio::time::timeout;
 
+use crate::accepted::Accepted;
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
 use crate::broken;
 use crate::headers::end_to_end;
 use crate::observe;
-use crate::pipeline::{Accepted, Pipeline};
+use crate::pipeline::Pipeline;
 use crate::transport::Failure;
 
 /// Maximum response size of a plain service, in bytes.
@@ -98,6 +99,7 @@
         if !attempts.try_start(&pipeline.budgets, &accepted.service) {
             break GiveUp::Exhausted;
         }
+        accepted.log_repeat(&entry, &attempts);
         let endpoint = entry.identity();
         let began = pipeline.clock.now();
         let outcome = send(pipeline, accepted, &entry, attempts.allowed_after_run()).await;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::accepted::Origin;
 use crate::adapter::{Dialect, Location, Memory, Store};
 use crate::admin;
 use crate::body::Body;
@@ -32,7 +33,7 @@
 use crate::notice::Notices;
 use crate::observe;
 use crate::path::Paths;
-use crate::pipeline::{Origin, Pipeline};
+use crate::pipeline::Pipeline;
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -22,11 +22,12 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::accepted::Origin;
 use crate::body::{Body, Error};
 use crate::clock::Clock;
 use crate::headers::error_response;
 use crate::observe;
-use crate::pipeline::{self, Origin, Pipeline};
+use crate::pipeline::{self, Pipeline};
 use crate::transport;
 
 /// Maximum buffer size of a client connection, in bytes. The head of a request must fit into it.
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -16,13 +16,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::accepted::Accepted;
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
 use crate::broken;
 use crate::headers::end_to_end;
 use crate::observe;
-use crate::pipeline::{Accepted, Pipeline};
+use crate::pipeline::Pipeline;
 use crate::placer::Placement;
 use crate::plain::{MISMATCHED_RESPONSE, NO_CONNECTION, UNSIGNED_RESPONSE, build_response};
 use crate::quarantine::Admission;
@@ -271,6 +272,7 @@
             urgency: pipeline.placer.urgency(service, self.accepted.priority),
         };
         self.log_placed(&engine, &placement);
+        self.accepted.log_repeat(&engine, &self.attempts);
         let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
         let limit = if self.attempts.allowed_after_run() {
             remaining.min(placement.plan.first_event * 2 + FIRST_EVENT_SLACK)
