--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -33,6 +33,8 @@
     PauseAfter(u64),
     /// Runs the request and closes the connection without a response.
     LoseResponse,
+    /// Runs the request and never responds.
+    Silence,
     /// Responds with the attempt identifier of another request.
     MismatchedResponse,
     /// Rejects the request with the header that says it was not run.
@@ -133,6 +135,12 @@
         })
     }
 
+    /// Injects a fault into each of the next `count` requests.
+    pub fn inject_repeatedly(&self, fault: Fault, count: usize) {
+        let mut state = self.state.lock();
+        state.faults.extend(std::iter::repeat_n(fault, count));
+    }
+
     /// Injects a fault into the next request. Of several faults, the last one is used first.
     pub fn inject(&self, fault: Fault) {
         self.state.lock().faults.push(fault);
@@ -415,6 +423,9 @@
         if fault == Some(Fault::LoseResponse) {
             return None;
         }
+        if fault == Some(Fault::Silence) {
+            std::future::pending::<()>().await;
+        }
         let mut response = if self.service == "writer" {
             Response::new(self.stream_body(&request, run, fault))
         } else {
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -106,6 +106,7 @@
             route("tell", "streaming", "writer", 3),
             route("book", "non_idempotent", "desk", 1),
             route("look", "idempotent", "desk", 2),
+            route("peek", "idempotent", "desk", 1),
         ],
         "services": [
             {"name": "writer", "healthCheckPath": "/health", "connectionLimit": 300,
