Lend attempts to the hosts that serve requests of a host that is cut off

Attempts were counted per process. A host that is cut off asked two hosts in turn, each of which counted from zero, and forgot what it had sent itself.

The host that reads a request now keeps an account of its attempts (kernel::loan) and lends some to the host it asks; what that host does not report as unused counts as used, so a lost response or a frozen host cannot lead to another run. Of several runs one is kept for another host. From the head of a stream on, the lender resumes it and the borrower does not. Runs and rejected attempts are lent; arrivals that a borrower reports draw on the lender's retry budget, and the lender counts the request there.

Hosts state that they keep to loans in an extension of their frames, which earlier builds skip. A host of an earlier build is asked only for requests of which nothing was attempted, and once. A request without a loan, from such a host, runs once.

--- a/crates/kernel/src/detour.rs
+++ b/crates/kernel/src/detour.rs
@@ -161,10 +161,31 @@
     pub is_near: bool,
 }
 
+/// What a request needs of the host that serves it.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Hosts that are not asked.
+    pub excluded: &'a [Host],
+    /// Whether no attempt was made yet. Otherwise only a host that keeps to loans may serve it.
+    pub is_untouched: bool,
+}
+
+/// The host that is chosen to serve a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Helper {
+    /// Name of the host.
+    pub host: Host,
+    /// Whether it keeps to the attempts that it is lent. A host of an earlier build makes as many as
+    /// the route allows.
+    pub keeps_loans: bool,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     holder: Option<u64>,
     reaches: bool,
+    /// Incarnation that has stated that it keeps to loans.
+    borrower: Option<u64>,
     running: u32,
     failed_until: Option<Instant>,
 }
@@ -186,6 +207,13 @@
         is_new
     }
 
+    /// Records whether the incarnation `holder` of a host has stated that it keeps to the attempts that
+    /// it is lent.
+    pub fn record_borrows(&mut self, host: &Host, holder: u64, borrows: bool) {
+        let peer = self.peers.entry(host.clone()).or_default();
+        peer.borrower = borrows.then_some(holder);
+    }
+
     /// Whether any of the candidates has stated whether it reaches endpoints. If none has, there is
     /// no way around a lost link, and a host goes on to try its own.
     pub fn has_statement(&self, mut candidates: impl Iterator<Item = Candidate>) -> bool {
@@ -198,14 +226,14 @@
     /// Returns the candidate with the fewest requests of this host, preferring near ones. Among
     /// equals, `random` chooses, so that several hosts do not ask the same one.
     ///
-    /// Hosts in `excluded` and those that failed a moment ago are never returned.
+    /// Hosts that the request excludes and those that failed a moment ago are never returned.
     pub fn pick(
         &self,
         candidates: impl Iterator<Item = Candidate>,
-        excluded: &[Host],
+        wanted: Wanted<'_>,
         mut random: impl FnMut() -> u32,
         now: Instant,
-    ) -> Option<Host> {
+    ) -> Option<Helper> {
         let serving = candidates.filter_map(|candidate| {
             let peer = self.peers.get(&candidate.host)?;
             let failed = peer.failed_until.is_some_and(|until| until > now);
@@ -215,13 +243,20 @@
             } else {
                 REMOTE_DOMAIN_REQUESTS
             };
-            serves.then_some((peer.running + penalty, candidate.host))
+            let helper = Helper {
+                host: candidate.host,
+                keeps_loans: peer.borrower == Some(candidate.holder),
+            };
+            serves.then_some((peer.running + penalty, helper))
+        });
+        let allowed = serving.filter(|(_, helper)| {
+            let fits = helper.keeps_loans || wanted.is_untouched;
+            fits && !wanted.excluded.contains(&helper.host)
         });
-        let allowed = serving.filter(|(_, host)| !excluded.contains(host));
         allowed
-            .map(|(load, host)| ((load, random()), host))
+            .map(|(load, helper)| ((load, random()), helper))
             .min_by_key(|(rank, _)| *rank)
-            .map(|(_, host)| host)
+            .map(|(_, helper)| helper)
     }
 
     /// Records that a request is sent to a host.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod lists;
+pub mod loan;
 pub mod membership;
 pub mod name;
 pub mod outcome;
--- a/crates/kernel/tests/detour.rs
+++ b/crates/kernel/tests/detour.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertstage_kernel::detour::{Candidate, Finding, Link, Peers, ROUND, takes_guest};
+use filbertstage_kernel::detour::{Candidate, Finding, Link, Peers, ROUND, Wanted, takes_guest};
 use filbertstage_kernel::outlier::{DomainHealth, Health, Observation};
 use filbertstage_kernel::prelude::*;
 
@@ -72,7 +72,12 @@
             draw += 1;
             draw
         };
-        self.peers.pick(self.candidates(), excluded, random, now)
+        let wanted = Wanted {
+            excluded,
+            is_untouched: true,
+        };
+        let helper = self.peers.pick(self.candidates(), wanted, random, now);
+        helper.map(|helper| helper.host)
     }
 }
 
@@ -161,6 +166,28 @@
     assert!(!old.peers.has_statement(old.candidates()));
 }
 
+/// Guards against hosts of an earlier build that repeat what has already been attempted, as if nothing
+/// had been.
+#[test]
+fn requests_that_were_attempted_go_to_hosts_that_keep_to_loans() {
+    let mut fleet = Fleet::new((0..HOSTS).map(|_| Some(true)));
+    let pick = |fleet: &Fleet, is_untouched| {
+        let wanted = Wanted {
+            excluded: &[],
+            is_untouched,
+        };
+        let picked = fleet.peers.pick(fleet.candidates(), wanted, || 0, START);
+        picked.map(|helper| (helper.host, helper.keeps_loans))
+    };
+    assert_eq!(pick(&fleet, true), Some((name(2), false)));
+    assert_eq!(pick(&fleet, false), None);
+    fleet.peers.record_borrows(&name(5), 5, true);
+    assert_eq!(pick(&fleet, false), Some((name(5), true)));
+    // Host 5 restarts with an earlier build.
+    fleet.peers.record_borrows(&name(5), 4, true);
+    assert_eq!(pick(&fleet, false), None);
+}
+
 /// Guards against a single helper for all requests of a host while others are idle.
 #[test]
 fn requests_are_spread_over_the_hosts() {
--- a/crates/relay/src/accepted.rs
+++ b/crates/relay/src/accepted.rs
@@ -4,19 +4,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HeaderValue;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use kernel::catalogue::{Entry, Route};
 use kernel::clock::Instant;
 use kernel::fingerprint::Fingerprint;
+use kernel::loan::Loan;
 use kernel::name::{Service, Workspace};
 use kernel::quarantine::Suspect;
 use kernel::segment;
 
 use crate::adapter::{Dialect, Forwarding, Metadata};
 use crate::attempts::{Attempts, GiveUp};
-use crate::{detour, observe};
+use crate::loan::{self, Terms};
+use crate::observe;
 
 /// Who sent a request to this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +43,8 @@
 #[derive(Clone)]
 pub(crate) struct Accepted {
     pub origin: Origin,
-    /// Whether another host has counted the request in its retry budget.
-    pub is_counted: bool,
+    /// What the host that is cut off has stated; `None` for a client's request.
+    pub terms: Option<Terms>,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -69,6 +70,16 @@
         self.metadata.id.as_deref().unwrap_or("-")
     }
 
+    /// Whether another host has counted the request in its retry budget.
+    pub fn is_counted(&self) -> bool {
+        self.terms.is_some_and(|terms| terms.is_counted)
+    }
+
+    /// The attempts that another host has lent for the request.
+    pub fn loan(&self) -> Option<Loan> {
+        self.terms.map(|terms| terms.loan)
+    }
+
     /// Counts and logs that the request is given up.
     pub fn log_give_up(&self, attempts: &Attempts, give_up: GiveUp, now: Instant) {
         observe::count_given_up(give_up.as_str());
@@ -126,24 +137,21 @@
         request
     }
 
-    /// Builds the request that is sent to another host: the client's own, with the time that is left
-    /// and the event after which a resumed stream continues.
+    /// Builds the request that is sent to another host: the client's own, with the time that is left,
+    /// the event after which a resumed stream continues, and the attempts that the host may make.
     pub fn detoured(
         &self,
         dialect: &dyn Dialect,
         remaining: Duration,
         resume_after: Option<&str>,
-        is_counted: bool,
+        loan: Loan,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         dialect.set_progress(request.headers_mut(), remaining, resume_after);
-        if is_counted {
-            let value = HeaderValue::from_static("1");
-            request.headers_mut().insert(detour::COUNTED, value);
-        }
+        loan::insert_terms(request.headers_mut(), loan);
         request
     }
 }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -4,15 +4,13 @@
 
 use http::{Response, StatusCode};
 use kernel::catalogue::{Identity, Route};
+use kernel::loan::{Account, Loan, Report};
 use kernel::name::Service;
 
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::headers::error_response;
 
-/// Maximum number of attempts of one request that end without running it.
-const MAX_REJECTIONS: u32 = 4;
-
 /// Reason why a request is given up without a response from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUp {
@@ -52,50 +50,35 @@
 #[derive(Clone, Debug)]
 pub struct Attempts {
     repeatable: bool,
-    runs_left: u32,
-    rejections_left: u32,
+    account: Account,
+    /// Number of attempts sent so far, by this host and by those that it lent attempts to.
     sent: u32,
     maybe_ran: bool,
-    /// Whether the request has been added to a retry budget.
-    counted: bool,
     excluded: Vec<Identity>,
 }
 
 impl Attempts {
-    /// Creates a tracker with the limits of `route`.
+    /// Creates a tracker with the limits of `route`, or with what another host lent.
     #[must_use]
-    pub fn new(route: &Route) -> Self {
+    pub fn new(route: &Route, loan: Option<Loan>) -> Self {
+        let account = loan.map_or_else(
+            || Account::new(route.attempts),
+            |loan| {
+                Account::borrowed(Loan {
+                    runs: loan.runs.min(route.attempts.max(1)),
+                    ..loan
+                })
+            },
+        );
         Self {
             repeatable: route.repeatable(),
-            runs_left: route.attempts.max(1),
-            rejections_left: MAX_REJECTIONS,
+            account,
             sent: 0,
             maybe_ran: false,
-            counted: true,
             excluded: Vec::new(),
         }
     }
 
-    /// Creates a tracker for a request that no retry budget has counted yet.
-    #[must_use]
-    pub fn uncounted(route: &Route) -> Self {
-        Self {
-            counted: false,
-            ..Self::new(route)
-        }
-    }
-
-    /// Whether a retry budget has counted the request.
-    #[must_use]
-    pub const fn is_counted(&self) -> bool {
-        self.counted
-    }
-
-    /// Records that another host has read the request and counted it in its retry budget.
-    pub const fn record_counted(&mut self) {
-        self.counted = true;
-    }
-
     /// Endpoints that are not tried again.
     #[must_use]
     pub fn excluded(&self) -> &[Identity] {
@@ -108,16 +91,16 @@
         self.sent
     }
 
-    /// Number of endpoints on which the route still allows the request to run.
+    /// Number of times that the request may still run.
     #[must_use]
     pub const fn runs_left(&self) -> u32 {
-        self.runs_left
+        self.account.runs_left()
     }
 
-    /// Whether the route allows another attempt. The retry budget is not checked.
+    /// Whether this host may make another attempt. The retry budget is not checked.
     #[must_use]
     pub const fn allowed(&self) -> bool {
-        self.runs_left > 0 && self.rejections_left > 0 && (self.repeatable || !self.maybe_ran)
+        self.account.allows_attempt() && self.may_run_again()
     }
 
     /// Whether another attempt would be allowed if the current one may have run.
@@ -125,7 +108,7 @@
     /// If not, the current attempt is the last one and may take until the request's deadline.
     #[must_use]
     pub const fn allowed_after_run(&self) -> bool {
-        self.repeatable && self.runs_left > 1 && self.rejections_left > 0
+        self.repeatable && self.account.allows_repeat()
     }
 
     /// Starts another attempt if it is allowed, and returns whether it may be sent.
@@ -139,9 +122,9 @@
         true
     }
 
-    /// Records that the endpoint did not run the request or cannot receive it, and excludes it.
+    /// Records that the endpoint did not run the request, and excludes it.
     pub fn record_rejected(&mut self, endpoint: Identity) {
-        self.rejections_left = self.rejections_left.saturating_sub(1);
+        self.account.record_rejected();
         self.excluded.push(endpoint);
     }
 
@@ -154,12 +137,71 @@
     /// this one does not count as sent.
     pub fn record_unsent(&mut self, endpoint: Identity) {
         self.sent = self.sent.saturating_sub(1);
-        self.record_rejected(endpoint);
+        self.record_unusable(endpoint);
+    }
+
+    /// Records that the endpoint cannot receive the request, before an attempt started, and excludes
+    /// it.
+    pub fn record_unusable(&mut self, endpoint: Identity) {
+        self.account.record_unsent();
+        self.excluded.push(endpoint);
+    }
+
+    /// Records that the endpoint ran the request or may have run it, and excludes it.
+    pub fn record_run(&mut self, endpoint: Identity) {
+        self.maybe_ran = true;
+        self.account.record_run();
+        self.excluded.push(endpoint);
+    }
+
+    /// Whether another host may make an attempt. The retry budget is not checked.
+    #[must_use]
+    pub const fn may_lend(&self) -> bool {
+        self.account.allows_loan() && self.may_run_again()
     }
 
-    /// Whether another host may run the request.
+    /// Whether another host may serve the request although it keeps to no loan, but to the limits of
+    /// the route.
     #[must_use]
-    pub const fn may_run_elsewhere(&self) -> bool {
+    pub const fn is_untouched(&self) -> bool {
+        self.account.is_untouched()
+    }
+
+    /// Lends attempts to another host.
+    pub fn lend(&mut self) -> Loan {
+        self.account.lend()
+    }
+
+    /// Takes back what another host did not use, according to the report in its response. If it does
+    /// not report, everything counts as used.
+    pub fn settle(&mut self, loan: Loan, report: Option<Report>) {
+        let Some(report) = report else {
+            self.maybe_ran = true;
+            self.sent += 1;
+            return self.exhaust();
+        };
+        self.maybe_ran |= report.runs > 0;
+        self.sent += report.arrivals();
+        self.account.settle(loan, report);
+    }
+
+    /// Records that another host did not respond. It may have used the whole loan, and no more than
+    /// that if it `keeps_loans`.
+    pub const fn record_lost(&mut self, keeps_loans: bool) {
+        self.maybe_ran = true;
+        self.sent += 1;
+        if !keeps_loans {
+            self.exhaust();
+        }
+    }
+
+    /// Returns what has been used, for the host that lent the attempts.
+    #[must_use]
+    pub const fn report(&self) -> Report {
+        self.account.report()
+    }
+
+    const fn may_run_again(&self) -> bool {
         self.repeatable || !self.maybe_ran
     }
 
@@ -175,22 +217,9 @@
         self.maybe_ran
     }
 
-    /// Records that another host may have run the request.
-    pub const fn record_detour(&mut self) {
-        self.maybe_ran = true;
-        self.sent += 1;
-    }
-
     /// Disallows further attempts.
     pub const fn exhaust(&mut self) {
-        self.runs_left = 0;
-    }
-
-    /// Records that the endpoint ran the request or may have run it, and excludes it.
-    pub fn record_run(&mut self, endpoint: Identity) {
-        self.maybe_ran = true;
-        self.runs_left = self.runs_left.saturating_sub(1);
-        self.excluded.push(endpoint);
+        self.account.close();
     }
 
     /// Builds the final response of a request that is given up.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HeaderName};
+use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
+use kernel::detour::Wanted;
 use kernel::event::Splitter;
+use kernel::loan::{Loan, Report};
 use kernel::name::Host;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -22,14 +24,12 @@
 use crate::body::{Body, Error};
 use crate::headers::end_to_end;
 use crate::link::Links;
+use crate::loan;
 use crate::observe;
 use crate::pipeline::Pipeline;
 use crate::plain::{MAX_RESPONSE_BYTES, build_response};
 use crate::transport::{Exchange, Failure};
 
-/// Header of a request between hosts that a retry budget has counted before.
-pub(crate) const COUNTED: HeaderName = HeaderName::from_static("x-relay-counted");
-
 /// Maximum number of hosts that are asked to serve one request.
 const MAX_HOSTS: usize = 2;
 /// Maximum number of chunks of a stream that wait for a slow client.
@@ -74,14 +74,16 @@
 
 /// What a host has made of a request.
 enum Outcome {
-    Stream(Upstream),
+    Stream(Upstream, Option<Report>),
     Response(Response<Body>),
+    /// A server error of an endpoint, or the host's own.
+    Failed(Response<Body>, Option<Report>),
     /// The host refused the request, which has not run.
-    Refused(Response<Body>),
+    Refused(Response<Body>, Option<Report>),
     /// Nothing was sent.
     Unsent(String),
-    /// The request may have run. Carries the host's own response, if there is one.
-    Uncertain(String, Option<Response<Body>>),
+    /// No response came, and the request may have run.
+    Lost(String),
 }
 
 /// What the hosts that were asked have made of a request.
@@ -92,8 +94,8 @@
     Nobody,
 }
 
-/// Sends a request to another host that reaches the endpoints. `attempts` says whether it may have
-/// run here.
+/// Sends a request to another host that reaches the endpoints. `attempts` has those that this host has
+/// made.
 ///
 /// Returns `None` if no host could be asked.
 pub(crate) async fn run(
@@ -124,6 +126,8 @@
     Some(response)
 }
 
+/// Asks hosts in turn until one serves the request. Hosts that have refused it or did not respond are
+/// added to `asked`, and not asked again.
 async fn ask(
     pipeline: &Pipeline,
     accepted: &Accepted,
@@ -131,56 +135,74 @@
     resume_after: Option<&str>,
     asked: &mut Vec<Host>,
 ) -> Asked {
-    let mut response = None;
-    while asked.len() < MAX_HOSTS && attempts.may_run_elsewhere() {
-        let Some(host) = pipeline.links.pick(pipeline.hosts.candidates(), asked) else {
+    let (mut refusal, mut failure) = (None, None);
+    while asked.len() < MAX_HOSTS && attempts.may_lend() {
+        let now = pipeline.clock.now();
+        let wanted = Wanted {
+            excluded: asked,
+            is_untouched: attempts.is_untouched(),
+        };
+        let candidates = pipeline.hosts.candidates();
+        let Some(helper) = pipeline.links.pick(candidates, wanted) else {
             break;
         };
-        if attempts.sent() > 0 && !pipeline.budgets.withdraw(&accepted.service) {
+        let is_late = now + ANSWER_MARGIN >= accepted.deadline;
+        if is_late || (attempts.sent() > 0 && !pipeline.budgets.withdraw(&accepted.service)) {
             break;
         }
-        asked.push(host.clone());
-        let may_repeat = asked.len() < MAX_HOSTS && attempts.may_repeat();
-        let is_counted = attempts.is_counted();
+        let loan = attempts.lend();
         let outcome = send(
             pipeline,
             accepted,
-            &host,
+            attempts,
+            &helper.host,
             resume_after,
-            is_counted,
-            may_repeat,
+            loan,
         )
         .await;
         let (name, reason) = match outcome {
-            Outcome::Stream(upstream) => {
-                attempts.record_detour();
-                log_outcome(accepted, attempts, &host, "served", "");
+            Outcome::Stream(upstream, report) => {
+                attempts.settle(loan, report);
+                log_outcome(accepted, attempts, &helper.host, "served", "");
                 return Asked::Stream(upstream);
             }
+            Outcome::Refused(response, report) => {
+                // A refusal states that the request has not run.
+                attempts.settle(loan, Some(report.unwrap_or_default()));
+                asked.push(helper.host.clone());
+                refusal = Some(response);
+                ("refused", String::new())
+            }
+            Outcome::Failed(response, report) => {
+                attempts.settle(loan, report);
+                if report.is_none_or(|report| report.runs == 0) {
+                    asked.push(helper.host.clone());
+                }
+                failure = Some(response);
+                ("failed", String::new())
+            }
             Outcome::Response(response) => {
-                log_outcome(accepted, attempts, &host, "served", "");
+                log_outcome(accepted, attempts, &helper.host, "served", "");
                 return Asked::Response(response);
             }
-            Outcome::Refused(refusal) => {
-                attempts.record_counted();
-                // A refusal states that the request has not run anywhere.
-                response = Some(refusal).filter(|_| !attempts.may_have_run());
-                ("refused", String::new())
-            }
             Outcome::Unsent(reason) => {
-                pipeline.record_peer_failure(&host);
+                attempts.settle(loan, Some(Report::default()));
+                asked.push(helper.host.clone());
+                pipeline.record_peer_failure(&helper.host);
                 ("unsent", reason)
             }
-            Outcome::Uncertain(reason, own) => {
-                pipeline.record_peer_failure(&host);
-                attempts.record_detour();
-                response = own;
+            Outcome::Lost(reason) => {
+                attempts.record_lost(helper.keeps_loans);
+                asked.push(helper.host.clone());
+                pipeline.record_peer_failure(&helper.host);
                 ("uncertain", reason)
             }
         };
-        log_outcome(accepted, attempts, &host, name, &reason);
+        log_outcome(accepted, attempts, &helper.host, name, &reason);
     }
-    if let Some(response) = response {
+    // A refusal is true only as long as no other host may have run the request.
+    let refusal = refusal.filter(|_| !attempts.may_have_run());
+    if let Some(response) = failure.or(refusal) {
         return Asked::Response(response);
     }
     if !attempts.may_have_run() {
@@ -215,43 +237,42 @@
 async fn send(
     pipeline: &Pipeline,
     accepted: &Accepted,
+    attempts: &Attempts,
     host: &Host,
     resume_after: Option<&str>,
-    is_counted: bool,
-    may_repeat: bool,
+    loan: Loan,
 ) -> Outcome {
     let Some(address) = pipeline.hosts.address(host) else {
         return Outcome::Unsent("the host is gone".to_owned());
     };
     let running = Running::start(&pipeline.links, host);
     let remaining = accepted.deadline.since(pipeline.clock.now());
-    let request = accepted.detoured(&*pipeline.dialect, remaining, resume_after, is_counted);
+    let request = accepted.detoured(&*pipeline.dialect, remaining, resume_after, loan);
     let is_sent = AtomicBool::new(false);
     let exchange = async {
         let sending = pipeline.dialer.send_if(address, request, &is_sent, || true);
-        let exchange = sending.await?;
+        let mut exchange = sending.await?;
+        let report = loan::take_report(&mut exchange.head.headers);
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
         let class = pipeline
             .dialect
             .classify_response(id, head.status, &head.headers);
         if !head.headers.contains_key(CONTENT_LENGTH) {
-            return Ok(Outcome::Stream(Upstream { exchange, running }));
+            return Ok(Outcome::Stream(Upstream { exchange, running }, report));
         }
         let (head, body) = exchange.collect(MAX_RESPONSE_BYTES).await?;
         let response = build_response(&head, body);
         // Responses of the host itself are not signed by an endpoint.
         let is_own = matches!(class, ResponseClass::Mismatched | ResponseClass::Unsigned);
         Ok(match head.status {
-            StatusCode::SERVICE_UNAVAILABLE if is_own => Outcome::Refused(response),
-            StatusCode::BAD_GATEWAY if is_own => {
-                Outcome::Uncertain("the host failed".to_owned(), Some(response))
-            }
+            StatusCode::SERVICE_UNAVAILABLE if is_own => Outcome::Refused(response, report),
+            status if status.is_server_error() => Outcome::Failed(response, report),
             _ => Outcome::Response(response),
         })
     };
     let limit = remaining.saturating_sub(ANSWER_MARGIN);
-    let limit = if may_repeat {
+    let limit = if attempts.may_lend() {
         limit.min((accepted.route.objective * OBJECTIVES + SLACK).max(remaining / 2))
     } else {
         limit
@@ -260,11 +281,11 @@
         Ok(Ok(outcome)) => outcome,
         Ok(Err(Failure::Unsent(reason) | Failure::Refused(reason))) => Outcome::Unsent(reason),
         Ok(Err(failure @ Failure::Withheld)) => Outcome::Unsent(failure.to_string()),
-        Ok(Err(Failure::Uncertain(reason))) => Outcome::Uncertain(reason, None),
+        Ok(Err(Failure::Uncertain(reason))) => Outcome::Lost(reason),
         Err(_) if !is_sent.load(Ordering::Relaxed) => Outcome::Unsent("no connection".to_owned()),
         Err(_) => {
             pipeline.dialer.close_idle(address);
-            Outcome::Uncertain("no answer in time".to_owned(), None)
+            Outcome::Lost("no answer in time".to_owned())
         }
     }
 }
@@ -350,7 +371,7 @@
         let mut limit = (route.objective * OBJECTIVES + SLACK).max(pause);
         loop {
             let remaining = self.accepted.deadline.since(self.pipeline.clock.now());
-            let wait = if route.resumable {
+            let wait = if route.resumable && self.attempts.may_lend() {
                 limit.min(remaining)
             } else {
                 remaining
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod headers;
 mod hosts;
 mod link;
+mod loan;
 mod notice;
 mod observe;
 mod part;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -11,7 +11,7 @@
 use kernel::catalogue::Entry;
 use kernel::clock::Instant;
 use kernel::detour::{self, Finding, Peers};
-use kernel::name::{Domain, Host};
+use kernel::name::Domain;
 use kernel::outlier::DOMAIN_PROBES;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
@@ -70,13 +70,19 @@
 
 impl Exchange for Links {
     fn apply(&self, sender: Sender<'_>, extension: &Extension) {
-        let Extension::Reaches(reaches) = extension else {
-            return;
-        };
         let mut peers = self.peers.lock();
-        if peers.record_statement(sender.host, sender.holder, *reaches) {
-            // A host that has just started may not know the statement of this one.
-            self.schedule.lock().repeat_until = self.clock.now() + REPEATED;
+        match extension {
+            Extension::Reaches(reaches) => {
+                let is_new = peers.record_statement(sender.host, sender.holder, *reaches);
+                if is_new {
+                    // A host that has just started may not know the statement of this one.
+                    self.schedule.lock().repeat_until = self.clock.now() + REPEATED;
+                }
+            }
+            Extension::Borrows(borrows) => {
+                peers.record_borrows(sender.host, sender.holder, *borrows);
+            }
+            _ => {}
         }
     }
 
@@ -88,7 +94,7 @@
             return Vec::new();
         }
         schedule.sent_at = Some(now);
-        vec![self.statement()]
+        self.statements().into()
     }
 }
 
@@ -287,25 +293,27 @@
 
     fn announce(&self, hosts: &Hosts) {
         self.schedule.lock().repeat_until = self.clock.now() + REPEATED;
-        hosts.publish([self.statement()]);
+        hosts.publish(self.statements());
     }
 
-    /// Returns what this host states: whether it reaches endpoints and serves other hosts.
-    fn statement(&self) -> Extension {
+    /// Returns what this host states: whether it reaches endpoints and serves other hosts, and that it
+    /// keeps to the attempts that they lend it.
+    fn statements(&self) -> [Extension; 2] {
         let is_draining = self.is_draining.load(Ordering::SeqCst);
-        Extension::Reaches(self.is_listening && !self.is_cut() && !is_draining)
+        let reaches = self.is_listening && !self.is_cut() && !is_draining;
+        [Extension::Borrows(true), Extension::Reaches(reaches)]
     }
 
-    /// Returns a host that serves a request, other than those in `excluded`.
+    /// Returns a host that serves a request.
     #[must_use]
     pub fn pick(
         &self,
         candidates: impl Iterator<Item = detour::Candidate>,
-        excluded: &[Host],
-    ) -> Option<Host> {
+        wanted: detour::Wanted<'_>,
+    ) -> Option<detour::Helper> {
         let mut rng = SmallRng::from_os_rng();
         let now = self.clock.now();
         let peers = self.peers.lock();
-        peers.pick(candidates, excluded, || rng.random(), now)
+        peers.pick(candidates, wanted, || rng.random(), now)
     }
 }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -34,7 +34,7 @@
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
 use crate::transport::Dialer;
-use crate::{detour, observe, plain, stream};
+use crate::{detour, loan, observe, plain, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -207,27 +207,34 @@
         }
         Ok(accepted) => {
             let kind = accepted.route.kind;
-            let response = serve(pipeline, accepted).await;
+            let mut attempts = Attempts::new(&accepted.route, accepted.loan());
+            let mut response = serve(pipeline, accepted, &mut attempts).await;
+            if origin == Origin::Host {
+                loan::insert_report(response.headers_mut(), attempts.report());
+            }
             observe::count_request(Some(kind), response.status());
             response
         }
     }
 }
 
-async fn serve(pipeline: Arc<Pipeline>, accepted: Accepted) -> Response<Body> {
-    let mut attempts = Attempts::uncounted(&accepted.route);
-    if let Some(response) = pipeline.detour(&accepted, &mut attempts).await {
+async fn serve(
+    pipeline: Arc<Pipeline>,
+    accepted: Accepted,
+    attempts: &mut Attempts,
+) -> Response<Body> {
+    if !accepted.is_counted() {
+        pipeline.budgets.deposit(&accepted.service);
+    }
+    if let Some(response) = pipeline.detour(&accepted, attempts).await {
         return response;
     }
     if accepted.origin == Origin::Client
         && pipeline.links.is_avoided()
-        && let Some(response) = detour::run(&pipeline, &accepted, &mut attempts).await
+        && let Some(response) = detour::run(&pipeline, &accepted, attempts).await
     {
         return response;
     }
-    if !accepted.is_counted && !attempts.is_counted() {
-        pipeline.budgets.deposit(&accepted.service);
-    }
     let engine = pipeline
         .registry
         .configuration()
@@ -235,9 +242,9 @@
     if accepted.route.kind == Kind::Stream
         && let Some(profile) = engine
     {
-        return stream::run(pipeline, accepted, &profile).await;
+        return stream::run(pipeline, accepted, &profile, attempts).await;
     }
-    let response = plain::run(&pipeline, &accepted).await;
+    let response = plain::run(&pipeline, &accepted, attempts).await;
     let took = pipeline.clock.now().since(accepted.arrived);
     observe::record_call(accepted.route.kind, took);
     response
@@ -250,7 +257,8 @@
     arrived: Instant,
 ) -> Result<Accepted, Response<Body>> {
     let (mut head, body) = request.into_parts();
-    let is_counted = head.headers.remove(detour::COUNTED).is_some() && origin == Origin::Host;
+    let terms = loan::take_terms(&mut head.headers);
+    let terms = (origin == Origin::Host).then_some(terms);
     let metadata = pipeline.dialect.parse_request(&head.headers);
     let reject = |status, retry_after, reason| refuse(&metadata, status, retry_after, reason);
     let Some(configuration) = pipeline.registry.configuration() else {
@@ -291,7 +299,7 @@
     let request = Suspect::Request(fingerprint);
     Ok(Accepted {
         origin,
-        is_counted,
+        terms,
         suspects: segments.chain([request]).collect(),
         fingerprint,
         method: head.method,
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -73,15 +73,18 @@
 }
 
 /// Sends the call to an endpoint, and retries at others where the route allows it.
-pub(crate) async fn run(pipeline: &Arc<Pipeline>, accepted: &Accepted) -> Response<Body> {
-    let mut attempts = Attempts::new(&accepted.route);
+pub(crate) async fn run(
+    pipeline: &Arc<Pipeline>,
+    accepted: &Accepted,
+    attempts: &mut Attempts,
+) -> Response<Body> {
     let mut last_failure = None;
     let mut admitted = pipeline.admit(accepted).await;
     let give_up = loop {
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
-        if let Some(response) = pipeline.detour(accepted, &mut attempts).await {
+        if let Some(response) = pipeline.detour(accepted, attempts).await {
             return response;
         }
         let admission = match admitted {
@@ -92,14 +95,14 @@
         if let Err(wait) = checked {
             break GiveUp::Quarantined(wait);
         }
-        let entry = match pick_endpoint(pipeline, accepted, &attempts) {
+        let entry = match pick_endpoint(pipeline, accepted, attempts) {
             Ok(entry) => entry,
             Err(give_up) => break give_up,
         };
         if !attempts.try_start(&pipeline.budgets, &accepted.service) {
             break GiveUp::Exhausted;
         }
-        accepted.log_repeat(&entry, &attempts);
+        accepted.log_repeat(&entry, attempts);
         let endpoint = entry.identity();
         let began = pipeline.clock.now();
         let outcome = send(pipeline, accepted, &entry, attempts.allowed_after_run()).await;
@@ -131,11 +134,11 @@
     };
     if last_failure.is_none()
         && give_up == GiveUp::Exhausted
-        && let Some(response) = pipeline.detour_at_end(accepted, &mut attempts).await
+        && let Some(response) = pipeline.detour_at_end(accepted, attempts).await
     {
         return response;
     }
-    accepted.log_give_up(&attempts, give_up, pipeline.clock.now());
+    accepted.log_give_up(attempts, give_up, pipeline.clock.now());
     match last_failure {
         Some((head, body)) => build_response(&head, body),
         None => attempts.final_response(give_up),
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::accepted::Accepted;
+use crate::accepted::{self, Accepted};
 use crate::adapter::{Forwarding, ResponseClass};
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
@@ -82,21 +82,21 @@
     pipeline: Arc<Pipeline>,
     accepted: Accepted,
     profile: &Profile,
+    attempts: &mut Attempts,
 ) -> Response<Body> {
     let (prompt_tokens, answer_tokens) = accepted
         .metadata
         .tokens
         .unwrap_or((0, u64::from(profile.stride)));
-    let attempts = Attempts::new(&accepted.route);
     let admission = match pipeline.admit(&accepted).await {
         Ok(admission) => admission,
         Err(give_up) => {
-            accepted.log_give_up(&attempts, give_up, pipeline.clock.now());
+            accepted.log_give_up(attempts, give_up, pipeline.clock.now());
             return attempts.final_response(give_up);
         }
     };
     let mut session = Session {
-        attempts,
+        attempts: attempts.clone(),
         admission,
         engine_crashed: false,
         pipeline,
@@ -106,12 +106,16 @@
         head_sent: false,
     };
     let resume_after = session.accepted.metadata.resume_after.clone();
-    match session.open(resume_after.as_deref()).await {
-        Ok(upstream) => session.respond(upstream),
+    let opened = session.open(resume_after.as_deref()).await;
+    attempts.clone_from(&session.attempts);
+    match opened {
+        Ok(upstream) => {
+            attempts.record_run(upstream.engine.identity());
+            session.respond(upstream)
+        }
         Err(OpenError::Failed(head, body)) => build_response(&head, body),
         Err(OpenError::GiveUp(give_up)) => {
-            let (accepted, attempts) = (&session.accepted, &mut session.attempts);
-            let pipeline = &session.pipeline;
+            let (accepted, pipeline) = (&session.accepted, &session.pipeline);
             let detoured = match give_up {
                 GiveUp::Exhausted => pipeline.detour_at_end(accepted, attempts).await,
                 _ => None,
@@ -119,11 +123,8 @@
             if let Some(response) = detoured {
                 return response;
             }
-            let now = session.pipeline.clock.now();
-            session
-                .accepted
-                .log_give_up(&session.attempts, give_up, now);
-            session.attempts.final_response(give_up)
+            accepted.log_give_up(attempts, give_up, pipeline.clock.now());
+            attempts.final_response(give_up)
         }
     }
 }
@@ -132,6 +133,10 @@
     /// Forwards the head of the first engine's response and spawns a task that relays the events.
     fn respond(mut self, upstream: Upstream) -> Response<Body> {
         self.head_sent = true;
+        if self.accepted.origin == accepted::Origin::Host {
+            // The host that lent the attempts has got back what is left, and resumes the stream itself.
+            self.attempts.exhaust();
+        }
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let mut response = Response::new(Body::Events(receiver));
         *response.status_mut() = upstream.exchange.head.status;
@@ -237,14 +242,14 @@
         let pipeline = Arc::clone(&self.pipeline);
         let service = &self.accepted.service;
         let Some(engine) = pipeline.registry.endpoint(service, placement.plan.primary) else {
-            self.attempts.record_rejected(placement.plan.primary);
+            self.attempts.record_unusable(placement.plan.primary);
             return Err(None);
         };
         let reserved = reservation::reserve_all(&pipeline, service, &placement).await;
         let (reservations, helpers) = match reserved {
             Ok(made) => made,
             Err(at_fault) => {
-                self.attempts.record_rejected(at_fault);
+                self.attempts.record_unusable(at_fault);
                 return Err(None);
             }
         };
--- a/crates/wire/src/extension.rs
+++ b/crates/wire/src/extension.rs
@@ -18,6 +18,8 @@
     Reaches(bool),
     /// Identities of endpoints at which requests of the sender have just failed.
     Failures(Vec<u64>),
+    /// Whether the sender keeps to the attempts that another host lends it, and reports what it used.
+    Borrows(bool),
     /// Digest of the set of hosts that the sender hears, itself included.
     Hears(u64),
 }
@@ -57,6 +59,7 @@
     pub const REACHES: u16 = 3;
     pub const FAILURES: u16 = 4;
     pub const HEARS: u16 = 6;
+    pub const BORROWS: u16 = 7;
 }
 
 impl Extension {
@@ -67,6 +70,7 @@
             Self::Reaches(content) => (kind::REACHES, postcard::to_stdvec(content)),
             Self::Failures(content) => (kind::FAILURES, postcard::to_stdvec(content)),
             Self::Hears(content) => (kind::HEARS, postcard::to_stdvec(content)),
+            Self::Borrows(content) => (kind::BORROWS, postcard::to_stdvec(content)),
         };
         let body = body.ok()?;
         Some(Section { kind, body })
@@ -80,6 +84,7 @@
             kind::REACHES => read(body).map(Self::Reaches),
             kind::FAILURES => read(body).map(Self::Failures),
             kind::HEARS => read(body).map(Self::Hears),
+            kind::BORROWS => read(body).map(Self::Borrows),
             _ => None,
         }
     }
