Count an engine once that falls silent and then breaks its stream

Callers got broken streams although the route allowed another engine. A stream whose engine sends nothing in time counts as a run of it; if no other engine takes over and the connection breaks later, the same run was counted again, and with two attempts none was left. Attempts are now counted by endpoint.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -55,6 +55,8 @@
     sent: u32,
     maybe_ran: bool,
     excluded: Vec<Identity>,
+    /// Endpoints that ran the request or may have run it.
+    ran: Vec<Identity>,
 }
 
 impl Attempts {
@@ -76,6 +78,7 @@
             sent: 0,
             maybe_ran: false,
             excluded: Vec::new(),
+            ran: Vec::new(),
         }
     }
 
@@ -147,11 +150,15 @@
         self.excluded.push(endpoint);
     }
 
-    /// Records that the endpoint ran the request or may have run it, and excludes it.
+    /// Records that the endpoint ran the request or may have run it, and excludes it. An endpoint that
+    /// fails again in the same run counts once.
     pub fn record_run(&mut self, endpoint: Identity) {
         self.maybe_ran = true;
-        self.account.record_run();
-        self.excluded.push(endpoint);
+        if !self.ran.contains(&endpoint) {
+            self.account.record_run();
+            self.ran.push(endpoint);
+            self.excluded.push(endpoint);
+        }
     }
 
     /// Whether another host may make an attempt. The retry budget is not checked.
