Send a test of what is quarantined once, also from a host that is cut off

A request that tests a suspect and got no answer was not repeated by its host, but a host that found itself cut off then sent it by way of another host, as if no test had been made. No test of its own: it takes a quarantine, a cut and a lost answer at once. tests/attempts_over_hosts.rs and the quarantine's tests pass.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -128,7 +128,11 @@
             }
             Outcome::Uncertain(_) => attempts.record_run(endpoint),
         }
-        if !attempts.allowed() || (attempts.sent() > 0 && admission.is_probe()) {
+        if attempts.sent() > 0 && admission.is_probe() {
+            // A request that tests what is quarantined is sent once, by this host or another one.
+            attempts.exhaust();
+        }
+        if !attempts.allowed() {
             break GiveUp::Exhausted;
         }
     };
