Count the attempts of a forwarded request at the node that forwarded it

A request may run six times. A node that forwarded it to another failure domain counted that as one attempt, and the other node counted six of its own: eleven runs if it was forwarded once, 27 if each time (kernel tests, every attempt failing).

A forwarded request is now one attempt of the node that read it: the other node makes one, counts it in no budget, and says so when it gives up; the first node retries. What a node of an earlier build reports is added to the count. No new field is sent: the refusal of a request that is given up had the number.

--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -8,7 +8,7 @@
 use crate::outcome::{Outcome, Refusal};
 use crate::retry::{self, Budget};
 
-/// Maximum number of attempts per request, including the first.
+/// Maximum number of attempts per request, including the first, on all nodes.
 const MAX_ATTEMPTS: u32 = 6;
 
 /// Reason why an attempt failed.
@@ -24,6 +24,8 @@
     Silent,
     /// The answer ended without its end marker or has a gap.
     Truncated,
+    /// The node to which the request was forwarded gave it up after this many attempts.
+    Forwarded(u32),
 }
 
 impl Fault {
@@ -36,6 +38,7 @@
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::Truncated => "truncated",
+            Self::Forwarded(_) => "forwarded",
         }
     }
 }
@@ -54,20 +57,36 @@
 pub struct Attempts {
     deadline: Instant,
     count: u32,
+    is_forwarded: bool,
 }
 
 impl Attempts {
     /// Creates a counter without attempts for a request that must end by `deadline`.
     #[must_use]
     pub const fn new(deadline: Instant) -> Self {
-        Self { deadline, count: 0 }
+        Self {
+            deadline,
+            count: 0,
+            is_forwarded: false,
+        }
+    }
+
+    /// Creates a counter for a request that another node has forwarded. It is one attempt of that
+    /// node, which retries it and whose budget has counted it.
+    #[must_use]
+    pub const fn forwarded(deadline: Instant) -> Self {
+        Self {
+            deadline,
+            count: 0,
+            is_forwarded: true,
+        }
     }
 
     /// Starts the next attempt and returns its number, counted from one.
     ///
-    /// The first attempt adds to the retry `budget`.
+    /// The first attempt adds to the retry `budget`, unless the request was forwarded.
     pub fn start(&mut self, budget: &mut Budget) -> u32 {
-        if self.count == 0 {
+        if self.count == 0 && !self.is_forwarded {
             budget.deposit();
         }
         self.count += 1;
@@ -79,17 +98,22 @@
     /// The request ends if the retry would not start before the request's deadline, if all attempts
     /// are used, or if the retry `budget` is empty. A retry is taken from the `budget`.
     pub fn next_step(
-        &self,
+        &mut self,
         now: Instant,
         fault: Fault,
         budget: &mut Budget,
         random: &mut SmallRng,
     ) -> Step {
+        if let Fault::Forwarded(attempts) = fault {
+            // The forwarding itself is counted.
+            self.count = self.count.saturating_add(attempts.saturating_sub(1));
+        }
+        let max_attempts = if self.is_forwarded { 1 } else { MAX_ATTEMPTS };
         let wait = retry::backoff(self.count, random);
         if now + wait >= self.deadline {
             return Step::End(Refusal::TimedOut(Outcome::Failed));
         }
-        if self.count >= MAX_ATTEMPTS || !budget.withdraw() {
+        if self.count >= max_attempts || !budget.withdraw() {
             return Step::End(Refusal::Exhausted(self.count, fault.as_str().to_owned()));
         }
         Step::Retry(wait)
--- a/crates/kernel/tests/limits.rs
+++ b/crates/kernel/tests/limits.rs
@@ -210,6 +210,58 @@
     );
 }
 
+/// Runs a request of which every attempt fails, and forwards those that `forwards` names. Returns how
+/// often it ran on both nodes.
+fn run_failing(forwards: impl Fn(u32) -> bool, remote: impl Fn() -> Attempts) -> u32 {
+    let mut random = SmallRng::seed_from_u64(1);
+    let now = Instant::from_millis(1_000);
+    let mut budgets = [Budget::default(), Budget::default()];
+    let mut attempts = Attempts::new(now + Duration::from_mins(1));
+    let mut runs = 0;
+    loop {
+        let number = attempts.start(&mut budgets[0]);
+        let fault = if forwards(number) {
+            let mut there = remote();
+            let used = loop {
+                there.start(&mut budgets[1]);
+                runs += 1;
+                match there.next_step(now, Fault::Broken, &mut budgets[1], &mut random) {
+                    Step::Retry(_) => {}
+                    Step::End(Refusal::Exhausted(used, _)) => break used,
+                    Step::End(refusal) => panic!("{refusal}"),
+                }
+            };
+            Fault::Forwarded(used)
+        } else {
+            runs += 1;
+            Fault::Broken
+        };
+        if let Step::End(_) = attempts.next_step(now, fault, &mut budgets[0], &mut random) {
+            return runs;
+        }
+    }
+}
+
+/// Guards against a request that runs more often than a request may, because it was forwarded and the
+/// other node counted its attempts from zero.
+#[rstest]
+#[case::first(|number| number == 1)]
+#[case::last(|number| number == 6)]
+#[case::each(|_| true)]
+fn attempts_of_a_forwarded_request_count_once(#[case] forwards: fn(u32) -> bool) {
+    let deadline = Instant::from_millis(61_000);
+    assert_eq!(run_failing(forwards, || Attempts::forwarded(deadline)), 6);
+}
+
+/// Guards against another round of attempts after those of a node of an earlier build, which makes as
+/// many as for a request of its own.
+#[test]
+fn attempts_of_a_node_of_an_earlier_build_are_counted() {
+    let deadline = Instant::from_millis(61_000);
+    let runs = run_failing(|_| true, || Attempts::new(deadline));
+    assert_eq!(runs, 6);
+}
+
 #[test]
 fn a_resume_token_cannot_be_altered_or_forged_without_the_key() {
     let token = Token {
--- a/crates/node/src/serve/forward.rs
+++ b/crates/node/src/serve/forward.rs
@@ -133,6 +133,9 @@
                     cached_tokens,
                 });
             }
+            Ok(Frame::Refused(Refusal::Exhausted(attempts, _))) => {
+                return Err(Failure::Fault(Fault::Forwarded(attempts), None));
+            }
             Ok(Frame::Refused(refusal)) => return Err(Failure::Refused(refusal)),
             Ok(_) => return Err(Failure::Fault(Fault::Truncated, None)),
             Err(Error::TimedOut) => return Err(Failure::Fault(Fault::Silent, None)),
--- a/crates/node/src/serve/mod.rs
+++ b/crates/node/src/serve/mod.rs
@@ -198,7 +198,11 @@
     work: &mut Work,
     sink: &mpsc::Sender<Item>,
 ) -> Result<Usage, Failure> {
-    let mut attempts = Attempts::new(work.deadline);
+    let mut attempts = if work.forwarded {
+        Attempts::forwarded(work.deadline)
+    } else {
+        Attempts::new(work.deadline)
+    };
     let mut avoid = Vec::new();
     loop {
         let number = attempts.start(&mut shared.tables.budget.lock());
