--- a/crates/fakes/src/site/log.rs
+++ b/crates/fakes/src/site/log.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use adapter::names;
@@ -13,6 +13,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{HeaderValue, Response, StatusCode};
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use relay::body::Body;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -43,6 +44,8 @@
     era: AtomicU64,
     /// Time that each read of the newest records takes.
     newest_delay: Mutex<Duration>,
+    /// Maximum number of records in a page of the newest ones; zero for no maximum.
+    page_items: AtomicUsize,
     /// Replaces the header with the era on every response, so that a test can send malformed ones.
     era_header: Mutex<Option<HeaderValue>>,
 }
@@ -96,6 +99,11 @@
         *self.newest_delay.lock() = time;
     }
 
+    /// Sets the maximum number of records in a page of the newest ones.
+    pub fn set_page_items(&self, items: usize) {
+        self.page_items.store(items, Ordering::SeqCst);
+    }
+
     /// Returns the newest value of `key` in a topic, or `None` if the topic does not have the key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Bytes> {
@@ -130,7 +138,8 @@
         topics.get(topic).map_or(0, |topic| topic.records.len())
     }
 
-    fn read_newest(&self, topic: &str) -> Value {
+    /// Returns the page of the newest records whose keys come after `after`.
+    fn read_newest(&self, topic: &str, after: Option<&str>) -> Value {
         let topics = self.topics.lock();
         let mut newest: BTreeMap<&str, &Bytes> = BTreeMap::new();
         let records = topics.get(topic).map(|topic| &topic.records);
@@ -138,12 +147,19 @@
             newest.insert(key, value);
         }
         newest.retain(|_, value| !value.is_empty());
+        newest.retain(|key, _| after.is_none_or(|after| *key > after));
+        let most = match self.page_items.load(Ordering::SeqCst) {
+            0 => newest.len(),
+            most => most,
+        };
+        let has_more = newest.len() > most;
         let items: Vec<_> = newest
             .into_iter()
+            .take(most)
             .map(|(key, value)| json!({ "key": key, "value": BASE64_STANDARD.encode(value) }))
             .collect();
         let end = topics.get(topic).map_or(0, |topic| topic.records.len());
-        json!({ "items": items, "hasMore": false, "endOffset": end })
+        json!({ "items": items, "hasMore": has_more, "endOffset": end })
     }
 
     /// Returns the records from offset `from`, or `None` if the log no longer has that offset or
@@ -204,7 +220,10 @@
             names::LOG_NEWEST_PATH => {
                 let delay = *self.newest_delay.lock();
                 sleep(delay).await;
-                json_response(StatusCode::OK, &self.read_newest(&topic))
+                let after: Option<String> = query_param(&request.uri, "after");
+                let after =
+                    after.map(|after| percent_decode_str(&after).decode_utf8_lossy().into_owned());
+                json_response(StatusCode::OK, &self.read_newest(&topic, after.as_deref()))
             }
             _ => json_response(StatusCode::NOT_FOUND, &json!({})),
         }
