Believe a refusal that names no attempt only on a new connection

Refusals that name another attempt were recognised, but one that names none was believed, since an endpoint may reject a request before it reads which attempt it is. So a call that may run once ran at a second endpoint, or its client was told that it had not run (TWICE, REFUSED).

On a connection that had an exchange before, such a refusal now counts as a response to another request: the request may have run, and the connection is closed.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -42,6 +42,11 @@
     /// Like [`Fault::Reject`], with this text as the time in seconds after which the caller may
     /// come back.
     RejectFor(&'static str),
+    /// Runs the request and writes a refusal without an attempt identifier, as if that of an earlier
+    /// request came once more.
+    RefuseOnceMore,
+    /// Runs the request and writes the refusal of another attempt.
+    RefuseAnother,
     /// Runs the request and responds with status 500.
     Fail,
 }
@@ -423,6 +428,15 @@
         if fault == Some(Fault::LoseResponse) {
             return None;
         }
+        if fault == Some(Fault::RefuseOnceMore) {
+            return Some(rejection(fault));
+        }
+        if fault == Some(Fault::RefuseAnother) {
+            let mut response = rejection(fault);
+            let another = HeaderValue::from_static("another-attempt");
+            response.headers_mut().insert(names::ATTEMPT_ID, another);
+            return Some(response);
+        }
         if fault == Some(Fault::Silence) {
             std::future::pending::<()>().await;
         }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -117,12 +117,14 @@
         resume_after: Option<&str>,
     );
 
-    /// Classifies the response to the attempt `id` by its status and headers.
+    /// Classifies the response to the attempt `id` by its status and headers. On a connection that
+    /// `is_reused`, it may be one to an earlier request.
     fn classify_response(
         &self,
         id: Option<&str>,
         status: StatusCode,
         headers: &HeaderMap,
+        is_reused: bool,
     ) -> ResponseClass;
 
     /// Parses what an endpoint announces about itself in the head of any response.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -255,9 +255,12 @@
         let report = loan::take_report(&mut exchange.head.headers);
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
-        let class = pipeline
-            .dialect
-            .classify_response(id, head.status, &head.headers);
+        let class = pipeline.dialect.classify_response(
+            id,
+            head.status,
+            &head.headers,
+            exchange.is_reused(),
+        );
         if !head.headers.contains_key(CONTENT_LENGTH) {
             return Ok(Outcome::Stream(Upstream { exchange, running }, report));
         }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -233,9 +233,12 @@
         let id = accepted.metadata.id.as_deref();
         let head = &exchange.head;
         pipeline.handle_notice(entry, head, sent_at);
-        let class = pipeline
-            .dialect
-            .classify_response(id, head.status, &head.headers);
+        let class = pipeline.dialect.classify_response(
+            id,
+            head.status,
+            &head.headers,
+            exchange.is_reused(),
+        );
         if class == ResponseClass::Mismatched {
             // Dropping the exchange closes the connection, whose responses no longer match the
             // requests.
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -373,7 +373,7 @@
         let id = self.accepted.metadata.id.as_deref();
         let head = &exchange.head;
         let dialect = &self.pipeline.dialect;
-        let class = dialect.classify_response(id, head.status, &head.headers);
+        let class = dialect.classify_response(id, head.status, &head.headers, exchange.is_reused());
         match class {
             ResponseClass::Mismatched => {
                 self.record_failure(&engine, Observation::Failed, MISMATCHED_RESPONSE);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -435,6 +435,12 @@
         self.opening
     }
 
+    /// Whether the connection had another exchange before.
+    #[must_use]
+    pub const fn is_reused(&self) -> bool {
+        self.opening.is_none()
+    }
+
     /// Whether the body has a length or comes in chunks. If not, it ends with the connection.
     #[must_use]
     pub fn is_framed(&self) -> bool {
