Go on with a stream only with events that follow the last one

Report of other operators: a stream broke off, the next worker answered with an error, and clients found the error's text in their stream, or a stream that looked complete.

A response that goes on with a stream must have the status and content type of the one that has begun, and its first event an ID above that of the last event before it, so that an engine which starts from the beginning is noticed too. Both hold for engines and for hosts that are asked.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -1,8 +1,25 @@
 //! Splits a byte stream of server-sent events into complete events.
 
+use quick_error::quick_error;
+
 /// Maximum size of an incomplete event in the buffer.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+quick_error! {
+    /// Why a stream cannot go on.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum Defect {
+        /// The incomplete event exceeds 1 MiB.
+        Oversized {
+            display("an event exceeds the size limit")
+        }
+        /// The first event after a resumption does not follow the last one before it.
+        Misplaced {
+            display("the resumed stream does not go on after the last event")
+        }
+    }
+}
+
 /// Buffers the incomplete event at the end of a stream and records the ID of the last complete
 /// event.
 #[derive(Clone, Debug, Default)]
@@ -10,6 +27,8 @@
     partial: Vec<u8>,
     last_id: Option<String>,
     events: u64,
+    /// Whether the next event is the first one of another endpoint.
+    is_resumed: bool,
 }
 
 impl Splitter {
@@ -25,23 +44,51 @@
 
     /// Appends `bytes` and returns all events that are now complete, unchanged.
     ///
-    /// Returns `None` if `bytes` complete no event and the incomplete event exceeds 1 MiB.
-    pub fn feed(&mut self, bytes: &[u8]) -> Option<Vec<u8>> {
+    /// # Errors
+    ///
+    /// [`Defect::Oversized`] if `bytes` complete no event and the incomplete event exceeds 1 MiB, and
+    /// [`Defect::Misplaced`] if the first event of a resumed stream has no ID or not a higher one than
+    /// the last event before it.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Defect> {
         // No event ends in the bytes that are already there.
         let searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
         let Some(end) = last_boundary(&self.partial, searched) else {
-            return (self.partial.len() <= MAX_EVENT_BYTES).then(Vec::new);
+            return if self.partial.len() <= MAX_EVENT_BYTES {
+                Ok(Vec::new())
+            } else {
+                Err(Defect::Oversized)
+            };
         };
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
         for event in whole.split_inclusive_events() {
+            if self.is_resumed && !is_comment(event) {
+                self.check_follows(event)?;
+                self.is_resumed = false;
+            }
             self.events += u64::from(!is_blank(event));
             if let Some(id) = event_id(event) {
                 self.last_id = Some(id.to_owned());
             }
         }
-        Some(whole)
+        Ok(whole)
+    }
+
+    fn check_follows(&self, event: &[u8]) -> Result<(), Defect> {
+        let Some(last) = &self.last_id else {
+            return Ok(());
+        };
+        let next = event_id(event).ok_or(Defect::Misplaced)?;
+        let follows = match (last.parse::<u64>(), next.parse::<u64>()) {
+            (Ok(last), Ok(next)) => next > last,
+            _ => next != last,
+        };
+        if follows {
+            Ok(())
+        } else {
+            Err(Defect::Misplaced)
+        }
     }
 
     /// Returns the ID of the last complete event that has one.
@@ -64,8 +111,9 @@
 
     /// Discards the incomplete event, because the stream resumes at another endpoint after the last
     /// complete event.
-    pub fn discard_partial(&mut self) {
+    pub fn resume(&mut self) {
         self.partial.clear();
+        self.is_resumed = true;
     }
 }
 
@@ -110,6 +158,12 @@
     matches!(event, b"\n" | b"\r\n")
 }
 
+/// Returns whether the event has only comments and empty lines.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, b"" | b"\r") || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<&str> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/kernel/tests/fuzz.rs
+++ b/crates/kernel/tests/fuzz.rs
@@ -129,7 +129,7 @@
             got.extend(pieces.feed(piece).expect("small"));
             rest = left;
         }
-        prop_assert_eq!(Some(got), expected);
+        prop_assert_eq!(Ok(got), expected);
         prop_assert_eq!(pieces.last_id(), whole.last_id());
         prop_assert_eq!(pieces.events(), whole.events());
     }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -22,7 +22,7 @@
 use crate::adapter::ResponseClass;
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::{Body, Error};
-use crate::headers::end_to_end;
+use crate::headers::{Format, end_to_end};
 use crate::link::Links;
 use crate::loan;
 use crate::observe;
@@ -118,6 +118,7 @@
         pipeline: Arc::clone(pipeline),
         accepted: accepted.clone(),
         attempts: attempts.clone(),
+        format: Some(Format::of(&upstream.exchange.head)),
         splitter: Splitter::resume_after(resume_after),
         sender,
         asked,
@@ -298,6 +299,8 @@
     pipeline: Arc<Pipeline>,
     accepted: Accepted,
     attempts: Attempts,
+    /// Format of the response, whose head the client has.
+    format: Option<Format>,
     splitter: Splitter,
     sender: mpsc::Sender<Result<Bytes, Error>>,
     asked: Vec<Host>,
@@ -309,6 +312,7 @@
         pipeline: Arc<Pipeline>,
         accepted: Accepted,
         attempts: Attempts,
+        format: Option<Format>,
         splitter: Splitter,
         sender: mpsc::Sender<Result<Bytes, Error>>,
     ) -> Self {
@@ -316,12 +320,19 @@
             pipeline,
             accepted,
             attempts,
+            format,
             splitter,
             sender,
             asked: Vec::new(),
         }
     }
 
+    /// Whether the response of another host goes on with the one that has begun.
+    fn continues(&self, next: &Upstream) -> bool {
+        let format = Format::of(&next.exchange.head);
+        format.is_success() && self.format.as_ref().is_none_or(|begun| *begun == format)
+    }
+
     /// Relays the events of `upstream`, and continues at other hosts where the route allows it.
     pub async fn run(mut self, mut upstream: Option<Upstream>) {
         loop {
@@ -335,7 +346,7 @@
                     }
                 }
             }
-            self.splitter.discard_partial();
+            self.splitter.resume();
             if !self.accepted.route.resumable
                 || self.pipeline.clock.now() >= self.accepted.deadline
                 || self.sender.is_closed()
@@ -355,7 +366,7 @@
                 () = self.sender.closed() => return,
             };
             match answer {
-                Asked::Stream(next) if next.exchange.head.status.is_success() => {
+                Asked::Stream(next) if self.continues(&next) => {
                     observe::count_interrupted_stream("resumed");
                     upstream = Some(next);
                 }
@@ -395,9 +406,8 @@
                 Ok(Err(failure)) => return Err(failure.to_string()),
                 Err(_) => return Err("no event in time".to_owned()),
             };
-            let Some(events) = self.splitter.feed(&bytes) else {
-                return Err("an event exceeds the size limit".to_owned());
-            };
+            let events = self.splitter.feed(&bytes);
+            let events = events.map_err(|defect| defect.to_string())?;
             if events.is_empty() {
                 continue;
             }
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, response};
 
 use crate::body::Body;
 
@@ -71,3 +71,27 @@
     }
     response
 }
+
+/// What the responses of all endpoints to one stream have in common, when one goes on for another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Format {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl Format {
+    /// Returns the format that a response's head states.
+    #[must_use]
+    pub fn of(head: &response::Parts) -> Self {
+        Self {
+            status: head.status,
+            content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
+        }
+    }
+
+    /// Whether the response is a success.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        self.status.is_success()
+    }
+}
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -29,8 +29,6 @@
 const NO_EVENT: &str = "the connection ended before the first event";
 /// Logged reason for a stream that ended with its connection, and its engine with it.
 const ENGINE_GONE: &str = "the engine ended with the connection";
-/// Logged reason for a stream with an event above the size limit.
-const OVERSIZED_EVENT: &str = "an event exceeds the size limit";
 
 /// How the relaying of one engine's stream ended.
 enum End {
@@ -100,7 +98,7 @@
                 }
                 End::Broken(reason) => reason,
             };
-            splitter.discard_partial();
+            splitter.resume();
             if broke {
                 self.record_break(&upstream, &splitter).await;
             }
@@ -147,7 +145,14 @@
         sender: mpsc::Sender<Result<Bytes, Error>>,
     ) {
         let pipeline = Arc::clone(&self.pipeline);
-        let rest = detour::Rest::new(pipeline, self.accepted, self.attempts, splitter, sender);
+        let rest = detour::Rest::new(
+            pipeline,
+            self.accepted,
+            self.attempts,
+            self.format,
+            splitter,
+            sender,
+        );
         rest.run(None).await;
     }
 
@@ -181,14 +186,14 @@
                 };
                 match splitter.feed(&bytes) {
                     // Only a whole event shows that the engine goes on.
-                    Some(events) if events.is_empty() => {}
-                    Some(events) => {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => {
                         return Some(match sender.send(Ok(events.into())).await {
                             Ok(()) => End::Unresponsive,
                             Err(_) => End::ClientDisconnected,
                         });
                     }
-                    None => return Some(End::Broken(OVERSIZED_EVENT.to_owned())),
+                    Err(defect) => return Some(End::Broken(defect.to_string())),
                 }
             }
         };
@@ -196,7 +201,7 @@
             return Some(End::Unreplaced);
         };
         self.log_resumed(&next, splitter);
-        splitter.discard_partial();
+        splitter.resume();
         *upstream = next;
         upstream.events_before = splitter.events();
         None
@@ -299,8 +304,9 @@
                     return End::Unresponsive;
                 }
             };
-            let Some(events) = splitter.feed(&bytes) else {
-                return End::Broken(OVERSIZED_EVENT.to_owned());
+            let events = match splitter.feed(&bytes) {
+                Ok(events) => events,
+                Err(defect) => return End::Broken(defect.to_string()),
             };
             if events.is_empty() {
                 continue;
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Relays event streams from engines, and resumes them at another engine where the route allows it.
 
 mod forward;
+mod outcome;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,8 +22,7 @@
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
 use crate::broken;
-use crate::headers::end_to_end;
-use crate::observe;
+use crate::headers::{Format, end_to_end};
 use crate::pipeline::Pipeline;
 use crate::placer::Placement;
 use crate::plain::{MISMATCHED_RESPONSE, NO_CONNECTION, UNSIGNED_RESPONSE, build_response};
@@ -38,6 +38,8 @@
 const MAX_BUFFERED_EVENTS: usize = 4;
 /// Maximum body size of an engine's error response that is forwarded, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1_024;
+/// Logged reason for a resumed stream that is no part of the response that has begun.
+const OTHER_FORMAT: &str = "the response has another format than the one that has begun";
 /// Allowed pause between events if the route sets none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -73,8 +75,8 @@
     engine_crashed: bool,
     prompt_tokens: u64,
     answer_tokens: u64,
-    /// Whether the client received the head of the response.
-    head_sent: bool,
+    /// Format of the response, once the client has received its head.
+    format: Option<Format>,
 }
 
 /// Serves one stream request.
@@ -103,7 +105,7 @@
         accepted,
         prompt_tokens,
         answer_tokens,
-        head_sent: false,
+        format: None,
     };
     let resume_after = session.accepted.metadata.resume_after.clone();
     let opened = session.open(resume_after.as_deref()).await;
@@ -132,7 +134,7 @@
 impl Session {
     /// Forwards the head of the first engine's response and spawns a task that relays the events.
     fn respond(mut self, upstream: Upstream) -> Response<Body> {
-        self.head_sent = true;
+        self.format = Some(Format::of(&upstream.exchange.head));
         if self.accepted.origin == accepted::Origin::Host {
             // The host that lent the attempts has got back what is left, and resumes the stream itself.
             self.attempts.exhaust();
@@ -208,7 +210,7 @@
             deadline: accepted.deadline,
             pause: self.max_pause(),
             priority: accepted.priority,
-            answer_started: self.head_sent,
+            answer_started: self.format.is_some(),
             excluded: self.attempts.excluded().to_vec(),
             origin: Origin {
                 kind: accepted.route.name.clone(),
@@ -401,6 +403,11 @@
                 timeout(FIRST_EVENT_SLACK, exchange.collect(MAX_ERROR_BODY_BYTES)).await;
             return Err(collected.ok().and_then(Result::ok));
         }
+        let started = self.format.as_ref();
+        if started.is_some_and(|format| *format != Format::of(head)) {
+            self.record_failure(&engine, Observation::Failed, OTHER_FORMAT);
+            return Err(None);
+        }
         Ok(Upstream {
             exchange,
             placement,
@@ -427,71 +434,4 @@
             self.attempts.exclude(entries.iter().map(Entry::identity));
         }
     }
-
-    /// Records an attempt of which nothing was sent.
-    fn record_unsent(&mut self, engine: &Entry, observation: Observation, reason: &str) {
-        self.log_send(engine, "unsent", reason);
-        self.record_observation(engine, observation);
-        self.attempts.record_unsent(engine.identity());
-    }
-
-    /// Records an attempt that ran, or may have run, and failed.
-    fn record_failure(&mut self, engine: &Entry, observation: Observation, reason: &str) {
-        self.log_send(engine, "failed", reason);
-        self.record_observation(engine, observation);
-        self.attempts.record_run(engine.identity());
-        self.end_probe();
-    }
-
-    /// A request that tests what is quarantined is sent to one engine only.
-    fn end_probe(&mut self) {
-        if self.admission.is_probe() {
-            self.attempts.exhaust();
-        }
-    }
-
-    fn record_observation(&self, engine: &Entry, observation: Observation) {
-        if observation != Observation::Succeeded {
-            self.pipeline.links.suspect();
-            if observation == Observation::Unresponsive {
-                self.pipeline.links.doubt(&engine.domain);
-            }
-            if self.pipeline.links.is_cut() {
-                // Failures of a host without links say nothing about the engine.
-                return;
-            }
-        }
-        let service = &self.accepted.service;
-        let identity = engine.identity();
-        self.pipeline
-            .placer
-            .record_observation(service, identity, observation);
-    }
-
-    fn log_placed(&self, engine: &Entry, placement: &Placement) {
-        observe::record_placement(self.elapsed(), placement.plan.helpers.len());
-        log::info!(
-            "event=placed request={} engine={} prompt={} segments={} helpers={} waited_ms={} first_event_ms={}",
-            self.accepted.id(),
-            engine.name,
-            self.prompt_tokens,
-            self.accepted.segments(),
-            placement.plan.helpers.len(),
-            self.elapsed().as_millis(),
-            placement.plan.first_event.as_millis()
-        );
-    }
-
-    fn elapsed(&self) -> Duration {
-        self.pipeline.clock.now().since(self.accepted.arrived)
-    }
-
-    fn log_send(&self, engine: &Entry, outcome: &'static str, reason: &str) {
-        observe::count_failed_send(outcome);
-        log::info!(
-            "event=send request={} engine={} outcome={outcome} reason=\"{reason}\"",
-            self.accepted.id(),
-            engine.name
-        );
-    }
 }
