Resume streams of a silent engine although the only other host served them

Since attempts are lent, a host that is cut off resumes the streams that other hosts serve for it. It took an engine's silence for the host's and asked it for nothing for a second; if the other hosts were lost, nobody was left.

A host whose stream breaks or falls silent is no longer taken for lost: it is asked again, after silence only if there is no other host. One that is really gone refuses or times out and is then left alone, as before.

--- a/crates/kernel/src/detour.rs
+++ b/crates/kernel/src/detour.rs
@@ -166,6 +166,8 @@
 pub struct Wanted<'a> {
     /// Hosts that are not asked.
     pub excluded: &'a [Host],
+    /// Host that is asked only if there is no other.
+    pub avoided: Option<&'a Host>,
     /// Whether no attempt was made yet. Otherwise only a host that keeps to loans may serve it.
     pub is_untouched: bool,
 }
@@ -254,7 +256,10 @@
             fits && !wanted.excluded.contains(&helper.host)
         });
         allowed
-            .map(|(load, helper)| ((load, random()), helper))
+            .map(|(load, helper)| {
+                let is_avoided = wanted.avoided == Some(&helper.host);
+                ((is_avoided, load, random()), helper)
+            })
             .min_by_key(|(rank, _)| *rank)
             .map(|(_, helper)| helper)
     }
--- a/crates/kernel/tests/detour.rs
+++ b/crates/kernel/tests/detour.rs
@@ -74,6 +74,7 @@
         };
         let wanted = Wanted {
             excluded,
+            avoided: None,
             is_untouched: true,
         };
         let helper = self.peers.pick(self.candidates(), wanted, random, now);
@@ -174,6 +175,7 @@
     let pick = |fleet: &Fleet, is_untouched| {
         let wanted = Wanted {
             excluded: &[],
+            avoided: None,
             is_untouched,
         };
         let picked = fleet.peers.pick(fleet.candidates(), wanted, || 0, START);
@@ -188,6 +190,25 @@
     assert_eq!(pick(&fleet, false), None);
 }
 
+/// Guards against a stream that is broken off because the only other host, whose engine fell silent, is
+/// not asked again.
+#[test]
+fn a_host_that_is_avoided_is_asked_if_there_is_no_other() {
+    let fleet = Fleet::new((0..3).map(|index| Some(index > 0)));
+    let near = name(2);
+    let pick = |excluded: &[Host]| {
+        let wanted = Wanted {
+            excluded,
+            avoided: Some(&near),
+            is_untouched: true,
+        };
+        let picked = fleet.peers.pick(fleet.candidates(), wanted, || 0, START);
+        picked.map(|helper| helper.host)
+    };
+    assert_eq!(pick(&[]), Some(name(1)), "a remote one");
+    assert_eq!(pick(&[name(1)]), Some(name(2)));
+}
+
 /// Guards against a single helper for all requests of a host while others are idle.
 #[test]
 fn requests_are_spread_over_the_hosts() {
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -105,7 +105,12 @@
 ) -> Option<Response<Body>> {
     let mut asked = Vec::new();
     let resume_after = accepted.metadata.resume_after.as_deref();
-    let upstream = match ask(pipeline, accepted, attempts, resume_after, &mut asked).await {
+    let mut asking = Asking {
+        resume_after,
+        avoided: None,
+        asked: &mut asked,
+    };
+    let upstream = match ask(pipeline, accepted, attempts, &mut asking).await {
         Asked::Stream(upstream) => upstream,
         Asked::Response(response) => return Some(response),
         Asked::Nobody => return None,
@@ -127,20 +132,34 @@
     Some(response)
 }
 
-/// Asks hosts in turn until one serves the request. Hosts that have refused it or did not respond are
-/// added to `asked`, and not asked again.
+/// What the hosts are asked for.
+struct Asking<'a> {
+    /// Event after which a stream goes on.
+    resume_after: Option<&'a str>,
+    /// Host that is asked only if there is no other.
+    avoided: Option<&'a Host>,
+    /// Hosts that have refused the request or did not respond, and are not asked again.
+    asked: &'a mut Vec<Host>,
+}
+
+/// Asks hosts in turn until one serves the request.
 async fn ask(
     pipeline: &Pipeline,
     accepted: &Accepted,
     attempts: &mut Attempts,
-    resume_after: Option<&str>,
-    asked: &mut Vec<Host>,
+    asking: &mut Asking<'_>,
 ) -> Asked {
+    let Asking {
+        resume_after,
+        avoided,
+        asked,
+    } = asking;
     let (mut refusal, mut failure) = (None, None);
     while asked.len() < MAX_HOSTS && attempts.may_lend() {
         let now = pipeline.clock.now();
         let wanted = Wanted {
             excluded: asked,
+            avoided: *avoided,
             is_untouched: attempts.is_untouched(),
         };
         let candidates = pipeline.hosts.candidates();
@@ -157,7 +176,7 @@
             accepted,
             attempts,
             &helper.host,
-            resume_after,
+            *resume_after,
             loan,
         )
         .await;
@@ -294,6 +313,14 @@
     }
 }
 
+/// Why a host's part of a stream is not complete.
+enum Interruption {
+    /// No event arrived in time.
+    Silent,
+    /// The stream ended or was invalid, with the reason.
+    Broken(String),
+}
+
 /// The rest of a stream whose head the client has, served by other hosts.
 pub(crate) struct Rest {
     pipeline: Arc<Pipeline>,
@@ -336,15 +363,18 @@
     /// Relays the events of `upstream`, and continues at other hosts where the route allows it.
     pub async fn run(mut self, mut upstream: Option<Upstream>) {
         loop {
+            let mut avoided = None;
             if let Some(current) = upstream.take() {
                 let host = current.running.host.clone();
-                match self.relay(current).await {
+                // Either the host or its endpoint has failed. A host that is gone is found out when it
+                // is asked again.
+                let (outcome, reason) = match self.relay(current).await {
                     Ok(()) => return,
-                    Err(reason) => {
-                        self.pipeline.record_peer_failure(&host);
-                        log_outcome(&self.accepted, &self.attempts, &host, "broken", &reason);
-                    }
-                }
+                    Err(Interruption::Silent) => ("silent", String::new()),
+                    Err(Interruption::Broken(reason)) => ("broken", reason),
+                };
+                log_outcome(&self.accepted, &self.attempts, &host, outcome, &reason);
+                avoided = (outcome == "silent").then_some(host);
             }
             self.splitter.resume();
             if !self.accepted.route.resumable
@@ -354,12 +384,16 @@
                 break;
             }
             let last = self.splitter.last_id().map(str::to_owned);
+            let mut asking = Asking {
+                resume_after: last.as_deref(),
+                avoided: avoided.as_ref(),
+                asked: &mut self.asked,
+            };
             let asking = ask(
                 &self.pipeline,
                 &self.accepted,
                 &mut self.attempts,
-                last.as_deref(),
-                &mut self.asked,
+                &mut asking,
             );
             let answer = tokio::select! {
                 answer = asking => answer,
@@ -379,7 +413,8 @@
     }
 
     /// Relays whole events of one host; the error is the reason why the stream is not complete.
-    async fn relay(&mut self, mut upstream: Upstream) -> Result<(), String> {
+    async fn relay(&mut self, mut upstream: Upstream) -> Result<(), Interruption> {
+        let broken = |reason: &str| Interruption::Broken(reason.to_owned());
         let route = Arc::clone(&self.accepted.route);
         let pause = route.pause.unwrap_or(DEFAULT_PAUSE) + SLACK;
         let mut limit = (route.objective * OBJECTIVES + SLACK).max(pause);
@@ -397,17 +432,17 @@
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) if self.splitter.has_partial() || !upstream.exchange.is_framed() => {
-                    return Err("the stream ended early".to_owned());
+                    return Err(broken("the stream ended early"));
                 }
                 Ok(Ok(None)) => {
                     upstream.exchange.finish();
                     return Ok(());
                 }
-                Ok(Err(failure)) => return Err(failure.to_string()),
-                Err(_) => return Err("no event in time".to_owned()),
+                Ok(Err(failure)) => return Err(broken(&failure.to_string())),
+                Err(_) => return Err(Interruption::Silent),
             };
             let events = self.splitter.feed(&bytes);
-            let events = events.map_err(|defect| defect.to_string())?;
+            let events = events.map_err(|defect| broken(&defect.to_string()))?;
             if events.is_empty() {
                 continue;
             }
