State the time that is left once the connection is open

Endpoints could be given more time than was left: a request said what was left before its connection was opened, which takes up to 0.4 s, and on the way over another host twice that, beyond the 0.5 s that the rule allows. Requests are now built when there is a connection.

--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -267,7 +267,10 @@
     };
     let running = Running::start(&pipeline.links, host);
     let remaining = accepted.deadline.since(pipeline.clock.now());
-    let request = accepted.detoured(&*pipeline.dialect, remaining, resume_after, loan);
+    let request = || {
+        let remaining = accepted.deadline.since(pipeline.clock.now());
+        accepted.detoured(&*pipeline.dialect, remaining, resume_after, loan)
+    };
     let is_sent = AtomicBool::new(false);
     let exchange = async {
         let sending = pipeline.dialer.send_if(address, request, &is_sent, || true);
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -207,15 +207,17 @@
     let _active_call = ActiveCall::start(pipeline, entry.identity());
     let sent_at = pipeline.clock.now();
     let remaining = accepted.deadline.since(sent_at);
-    let forwarding = Forwarding {
-        endpoint: &entry.name,
-        workspace: accepted.workspace.as_ref(),
-        remaining,
-        resume_after: accepted.metadata.resume_after.as_deref(),
-        helpers: &[],
-        urgency: None,
+    let request = || {
+        let forwarding = Forwarding {
+            endpoint: &entry.name,
+            workspace: accepted.workspace.as_ref(),
+            remaining: accepted.deadline.since(pipeline.clock.now()),
+            resume_after: accepted.metadata.resume_after.as_deref(),
+            helpers: &[],
+            urgency: None,
+        };
+        accepted.outgoing(&*pipeline.dialect, &forwarding)
     };
-    let request = accepted.outgoing(&*pipeline.dialect, &forwarding);
     let limit = if retry_allowed {
         remaining.min(accepted.route.objective * ATTEMPT_TIMEOUT_OBJECTIVES)
     } else {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -270,17 +270,20 @@
         }
         let sent_at = pipeline.clock.now();
         let remaining = self.accepted.deadline.since(sent_at);
-        let forwarding = Forwarding {
-            endpoint: &engine.name,
-            workspace: self.accepted.workspace.as_ref(),
-            remaining,
-            resume_after,
-            helpers: &helpers,
-            urgency: pipeline.placer.urgency(service, self.accepted.priority),
-        };
         self.log_placed(&engine, &placement);
         self.accepted.log_repeat(&engine, &self.attempts);
-        let request = self.accepted.outgoing(&*pipeline.dialect, &forwarding);
+        let accepted = &self.accepted;
+        let request = || {
+            let forwarding = Forwarding {
+                endpoint: &engine.name,
+                workspace: accepted.workspace.as_ref(),
+                remaining: accepted.deadline.since(pipeline.clock.now()),
+                resume_after,
+                helpers: &helpers,
+                urgency: pipeline.placer.urgency(service, accepted.priority),
+            };
+            accepted.outgoing(&*pipeline.dialect, &forwarding)
+        };
         let limit = if self.attempts.allowed_after_run() {
             remaining.min(placement.plan.first_event * 2 + FIRST_EVENT_SLACK)
         } else {
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -168,13 +168,17 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, Failure> {
-        self.send_if(address, request, &AtomicBool::new(false), || true)
+        let is_sent = AtomicBool::new(false);
+        self.send_if(address, || request.clone(), &is_sent, || true)
             .await
     }
 
     /// Like [`Dialer::send`], but sends nothing unless `allowed` returns true once there is a
     /// connection. Opening one may take longer than the notice that the peer must get nothing more.
     ///
+    /// `build` is called once there is a connection, so that the request can state the time that is
+    /// left then.
+    ///
     /// Sets `is_sent` as soon as a part of the request may have been sent, for callers that stop
     /// waiting.
     ///
@@ -185,7 +189,7 @@
     pub async fn send_if(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        build: impl Fn() -> Request<Full<Bytes>>,
         is_sent: &AtomicBool,
         allowed: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
@@ -194,13 +198,10 @@
                 return Err(Failure::Withheld);
             }
             is_sent.store(true, Ordering::Relaxed);
-            match send_on(connection, request).await {
+            match send_on(connection, build()).await {
                 Ok(exchange) => return Ok(exchange),
-                Err((Some(unsent), _)) => {
-                    is_sent.store(false, Ordering::Relaxed);
-                    request = unsent;
-                }
-                Err((None, reason)) => return Err(Failure::Uncertain(reason)),
+                Err(SendError::Unsent(_)) => is_sent.store(false, Ordering::Relaxed),
+                Err(SendError::Uncertain(reason)) => return Err(Failure::Uncertain(reason)),
             }
         }
         let started = Instant::now();
@@ -217,15 +218,15 @@
             return Err(Failure::Withheld);
         }
         is_sent.store(true, Ordering::Relaxed);
-        send_on(connection, request)
+        send_on(connection, build())
             .await
             .map(|exchange| Exchange {
                 opening: Some(opening),
                 ..exchange
             })
-            .map_err(|(unsent, reason)| match unsent {
-                Some(_) => Failure::Unsent(reason),
-                None => Failure::Uncertain(reason),
+            .map_err(|error| match error {
+                SendError::Unsent(reason) => Failure::Unsent(reason),
+                SendError::Uncertain(reason) => Failure::Uncertain(reason),
             })
     }
 
@@ -363,15 +364,19 @@
     socket.set_tcp_keepalive(&probes)
 }
 
-/// The request, if it was not sent, and the reason.
-type SendError = (Option<Request<Full<Bytes>>>, String);
+/// Why there is no response on a connection, with the reason.
+enum SendError {
+    /// No part of the request was sent.
+    Unsent(String),
+    Uncertain(String),
+}
 
 async fn send_on(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Exchange, SendError> {
     let Some(sender) = connection.sender.as_mut() else {
-        return Err((Some(request), "the connection is closed".to_owned()));
+        return Err(SendError::Unsent("the connection is closed".to_owned()));
     };
     match sender.try_send_request(request).await {
         Ok(response) => {
@@ -385,7 +390,11 @@
         }
         Err(mut error) => {
             let unsent = error.take_message();
-            Err((unsent, error.into_error().to_string()))
+            let reason = error.into_error().to_string();
+            Err(match unsent {
+                Some(_) => SendError::Unsent(reason),
+                None => SendError::Uncertain(reason),
+            })
         }
     }
 }
