Find out whether the links are lost before a request is sent once more

A host that has just lost its links to the endpoints used up the attempts of its requests over them, and no attempt was left to lend to another host. Before a repeat it now waits for the probes that a failed send starts, if other hosts could serve the request; if the links are lost, one of them is asked.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -88,6 +88,12 @@
         &self.excluded
     }
 
+    /// Whether an attempt of this host has failed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        !self.excluded.is_empty()
+    }
+
     /// Number of attempts sent so far.
     #[must_use]
     pub const fn sent(&self) -> u32 {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -84,7 +84,13 @@
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
-        if let Some(response) = pipeline.detour(accepted, attempts).await {
+        // Over links that are lost, an attempt would be wasted.
+        let detoured = if attempts.has_failed() {
+            pipeline.detour_at_end(accepted, attempts).await
+        } else {
+            pipeline.detour(accepted, attempts).await
+        };
+        if let Some(response) = detoured {
             return response;
         }
         let admission = match admitted {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -154,6 +154,10 @@
             if !self.attempts.allowed() || self.may_detour() {
                 break GiveUp::Exhausted;
             }
+            // Over links that are lost, an attempt would be wasted.
+            if self.attempts.has_failed() && self.pipeline.confirm_cut(&self.accepted).await {
+                break GiveUp::Exhausted;
+            }
             if std::mem::take(&mut self.engine_crashed) {
                 match self.pipeline.admit(&self.accepted).await {
                     Ok(admission) => self.admission = admission,
--- a/crates/wire/tests/extension.rs
+++ b/crates/wire/tests/extension.rs
@@ -30,6 +30,7 @@
             remaining_ms: 2_500,
         }]),
         Extension::Reaches(true),
+        Extension::Borrows(true),
     ]
 }
 
