--- a/crates/kernel/src/loan.rs
+++ b/crates/kernel/src/loan.rs
@@ -11,9 +11,9 @@
 /// Attempts that a host lends to another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Loan {
-    /// Number of times that the request may run.
+    /// Maximum number of times that the request may run.
     pub runs: u32,
-    /// Number of attempts that endpoints may reject.
+    /// Maximum number of attempts that endpoints may reject.
     pub rejections: u32,
     /// Whether the lender has no runs left. If it has, the borrower does better to give up an endpoint
     /// that does not respond than to wait for it until the deadline.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -1,8 +1,8 @@
 //! Sends requests of a host that is cut off from the endpoints to another host, which treats them as
 //! requests of its own callers.
 //!
-//! Keys, limits, the quarantine and the retry budget are the other host's. It never sends such a
-//! request on.
+//! Keys, limits and the quarantine are the other host's. It makes no more attempts than it is lent (see
+//! [`kernel::loan`]), and never sends such a request on.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
