--- /dev/null
+++ b/review/standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins for the platform's store, the workers and the clients, on loopback addresses and
+//! without dependencies. They follow `PROTOCOL.md`.
+
+pub mod client;
+pub mod http;
+pub mod node;
+pub mod record;
+pub mod store;
+pub mod worker;
