--- /dev/null
+++ b/review/standins/src/bin/soak.rs
@@ -0,0 +1,568 @@
+//! Hosts and workers as processes, with clients, faults and links that are cut, all from one seed.
+//!
+//! Arguments: the repository or work tree whose `target/release/filbertstage` is played, a folder for the
+//! record and the logs, the seed, the seconds. `SOAK_HOSTS`, `SOAK_CLIENTS` set how many there are, `SOAK_FAULTS`
+//! which kinds of faults come (all by default). Exits with 1 if a rule is broken.
+
+use std::collections::HashMap;
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{exit, Child, ChildStdin, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use review_standins::http::{read_body, read_head};
+use review_standins::judge::{now, Attempt, Bounds, End, Judge, Millis, Step};
+use review_standins::node::{Node, CHARNWOOD, SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM};
+use review_standins::proxy::{self, Proxy};
+use review_standins::rng::Rng;
+use review_standins::store::{self, Store};
+use review_standins::worker::{entry, stream_event, unframed_body};
+
+const CONFIGURATION: &str = r#"{"version":1,"routes":[
+{"name":"look","host":"site.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"anonymousAccess":false},
+{"name":"peek","host":"site.example","pathPrefix":"/peek/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"anonymousAccess":false},
+{"name":"book","host":"site.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"anonymousAccess":false},
+{"name":"ask","host":"site.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":300,"gapTargetMs":200,"priority":1,"service":"writer","maxAttempts":3,"anonymousAccess":false,"sessionAffinity":true,"streamResumption":true},
+{"name":"tell","host":"site.example","pathPrefix":"/tell/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":300,"gapTargetMs":200,"priority":1,"service":"writer","maxAttempts":2,"anonymousAccess":false,"sessionAffinity":true,"streamResumption":false}],
+"services":[{"name":"desk","healthCheckPath":"/health","connectionLimit":100,"protocol":"h1","transportSecurity":false},
+{"name":"writer","healthCheckPath":"/health","connectionLimit":364,"protocol":"h1","transportSecurity":false,"engine":{"slots":16,"kvCacheTokens":450000,"kvTokenBytes":327680,"linkMbps":400000.0,"stride":46,"models":[{"name":"m"}],"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,"delays":[],"usual":{"prompt":13229,"answer":1541},"hopMs":0.1}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"club","apiKeys":["key-1"],"priority":1}]}"#;
+const EVENTS: usize = 12;
+/// Faults of workers, each with its largest share.
+const FAULTS: [(&str, f64); 13] = [
+    ("unread", 0.3), ("idle", 0.6), ("unnamed", 0.3), ("full", 0.5), ("again", 0.5), ("hang", 0.1), ("slow", 0.3),
+    ("lost", 0.4), ("failed", 0.3), ("unframed", 0.3), ("half", 0.3), ("head", 0.2), ("extra", 0.5),
+];
+
+struct Kind {
+    path: &'static str,
+    service: &'static str,
+    repeatable: bool,
+    max_attempts: usize,
+    remaining: Millis,
+}
+
+const KINDS: [Kind; 5] = [
+    Kind { path: "look", service: "desk", repeatable: true, max_attempts: 2, remaining: 2_500 },
+    Kind { path: "peek", service: "desk", repeatable: true, max_attempts: 1, remaining: 2_500 },
+    Kind { path: "book", service: "desk", repeatable: false, max_attempts: 2, remaining: 2_500 },
+    Kind { path: "ask", service: "writer", repeatable: true, max_attempts: 3, remaining: 10_000 },
+    Kind { path: "tell", service: "writer", repeatable: false, max_attempts: 2, remaining: 10_000 },
+];
+
+/// Where a worker's connections arrive, by host and worker.
+type Links = Arc<Mutex<HashMap<(usize, String), Proxy>>>;
+
+struct Worker {
+    name: String,
+    service: &'static str,
+    zone: &'static str,
+    port: u16,
+    slots: u32,
+    child: Child,
+    input: ChildStdin,
+    state: Arc<AtomicU8>,
+}
+
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+const ENDED: u8 = 2;
+
+struct Soak {
+    store: Store,
+    views: Vec<Store>,
+    links: Links,
+    judge: Arc<Mutex<Judge>>,
+    record: Arc<Mutex<File>>,
+    hosts: Vec<Mutex<Node>>,
+    /// Whether the balancer sends new connections to a host.
+    rotation: Arc<Vec<AtomicBool>>,
+    workers: Mutex<Vec<Worker>>,
+    numbers: AtomicU64,
+    stopped: AtomicBool,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let root = PathBuf::from(&arguments[0]);
+    let folder = PathBuf::from(&arguments[1]);
+    let number = |index: usize| arguments[index].parse::<u64>().expect("a number");
+    let (seed, seconds) = (number(2), number(3));
+    let setting = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
+    let (host_count, clients) = (setting("SOAK_HOSTS", 4) as usize, setting("SOAK_CLIENTS", 32));
+    let kinds = std::env::var("SOAK_FAULTS").unwrap_or_else(|_| "worker,kill,drain,stop,host,freeze,term,link,store".to_owned());
+    fs::create_dir_all(&folder).expect("a folder");
+    let soak = Soak::start(&root, &folder, host_count);
+    for index in 0..9 {
+        soak.start_worker(if index < 4 { "desk" } else { "writer" }, CHARNWOOD.zones[index % 3], 0, seed * 100 + index as u64, None);
+    }
+    if !soak.start_hosts() {
+        println!("seed {seed}: a host does not become ready");
+        soak.end();
+        exit(2);
+    }
+    let began = Instant::now();
+    let until = began + Duration::from_secs(seconds);
+    thread::scope(|scope| {
+        scope.spawn(|| soak.balance());
+        for client in 0..clients {
+            let soak = &soak;
+            scope.spawn(move || soak.run_client(client, Rng::new(seed * 1_000 + client), until));
+        }
+        soak.make_trouble(&kinds, &mut Rng::new(seed), until);
+        soak.stopped.store(true, Ordering::SeqCst);
+    });
+    // Whatever is still on its way arrives.
+    thread::sleep(Duration::from_secs(2));
+    let code = soak.report(seed, &folder);
+    soak.end();
+    exit(code);
+}
+
+impl Soak {
+    fn start(root: &std::path::Path, folder: &std::path::Path, host_count: usize) -> Self {
+        let store = Store::start();
+        store.put("keyed.op", "config", &CONFIGURATION.replace('\n', ""));
+        let links: Links = Arc::default();
+        let views: Vec<_> = (0..host_count)
+            .map(|host| {
+                let links = Arc::clone(&links);
+                store.view(Arc::new(move |value: &[u8]| {
+                    let text = String::from_utf8_lossy(value);
+                    let Some((before, rest)) = text.split_once('@') else { return value.to_vec() };
+                    let Some((name, after)) = rest.split_once('@') else { return value.to_vec() };
+                    let address = links.lock().unwrap().get(&(host, name.to_owned())).map(|proxy| proxy.address);
+                    let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 1)));
+                    format!("{before}{address}{after}").into_bytes()
+                }))
+            })
+            .collect();
+        let hosts = views.iter().enumerate().map(|(host, view)| {
+            Mutex::new(Node::prepare(root, folder, &format!("edge-{host}"), &CHARNWOOD, CHARNWOOD.zones[host % 3], view.address))
+        });
+        let hosts: Vec<_> = hosts.collect();
+        Self {
+            store,
+            views,
+            links,
+            judge: Arc::default(),
+            record: Arc::new(Mutex::new(File::create(folder.join("record.txt")).expect("the folder can be written"))),
+            rotation: Arc::new(hosts.iter().map(|_| AtomicBool::new(true)).collect()),
+            hosts,
+            workers: Mutex::default(),
+            numbers: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    fn start_hosts(&self) -> bool {
+        for host in &self.hosts {
+            host.lock().unwrap().start();
+        }
+        self.hosts.iter().all(|host| host.lock().unwrap().wait_until_ready(Duration::from_secs(10)))
+    }
+
+    fn end(&self) {
+        for worker in self.workers.lock().unwrap().iter_mut() {
+            worker.state.store(ENDED, Ordering::SeqCst);
+            let _ = worker.child.kill();
+            let _ = worker.child.wait();
+        }
+        for host in &self.hosts {
+            host.lock().unwrap().kill();
+        }
+    }
+
+    fn line(&self, text: &str) {
+        let _ = self.record.lock().unwrap().write_all(format!("{} {text}\n", now()).as_bytes());
+    }
+
+    /// Starts a worker, on the same port or under the same name as an earlier one if these are given.
+    fn start_worker(&self, service: &'static str, zone: &'static str, port: u16, seed: u64, name: Option<String>) {
+        let number = self.numbers.fetch_add(1, Ordering::SeqCst);
+        let name = name.unwrap_or_else(|| format!("i-{number}"));
+        let slots = if service == "desk" { 6 } else { 16 };
+        let program = std::env::current_exe().expect("a path").with_file_name("soak_worker");
+        let mut command = Command::new(program);
+        command.args([name.clone(), port.to_string(), slots.to_string(), seed.to_string()]);
+        let spawned = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn();
+        let mut child = spawned.expect("review/build.sh has run");
+        let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+        let Some(Ok(address)) = lines.next() else {
+            // Its port is taken.
+            let _ = child.wait();
+            if port != 0 {
+                self.start_worker(service, zone, 0, seed, Some(name));
+            }
+            return;
+        };
+        let address: SocketAddr = address.parse().expect("an address");
+        for host in 0..self.hosts.len() {
+            let judge = Arc::clone(&self.judge);
+            let proxy = Proxy::start(address, Arc::new(move |port| {
+                judge.lock().unwrap().ports.insert(port, host);
+            }));
+            if let Some(former) = self.links.lock().unwrap().insert((host, name.clone()), proxy) {
+                former.set(proxy::GONE);
+            }
+        }
+        let (judge, own) = (Arc::clone(&self.judge), name.clone());
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let words: Vec<_> = line.split(' ').collect();
+                if let [what, at, id, remaining, port] = words[..] {
+                    let mut judge = judge.lock().unwrap();
+                    let host = port.parse().ok().and_then(|port: u16| judge.ports.get(&port).copied());
+                    let step = Step { worker: own.clone(), what: what.to_owned(), at: at.parse().unwrap_or(0), id: id.to_owned(), remaining: remaining.parse().ok(), host };
+                    judge.steps.push(step);
+                }
+            }
+        });
+        let state = Arc::new(AtomicU8::new(READY));
+        let (store, beating, own, born) = (self.store.clone(), Arc::clone(&state), name.clone(), u128::from(now()));
+        thread::spawn(move || {
+            for sequence in 0.. {
+                let text = entry(service, &format!("@{own}@"), zone, slots, sequence, born);
+                match beating.load(Ordering::SeqCst) {
+                    READY => store.put("keyed.servers", &own, &text),
+                    DRAINING => store.put("keyed.servers", &own, &text.replace("\"ready\"", "\"draining\"")),
+                    _ => break,
+                }
+                for _ in 0..12 {
+                    if beating.load(Ordering::SeqCst) == READY {
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                }
+                if beating.load(Ordering::SeqCst) == DRAINING {
+                    thread::sleep(Duration::from_millis(300));
+                }
+            }
+            thread::sleep(Duration::from_millis(2_400));
+            if !store.lists("keyed.servers", &own, &format!("\"born\":{born}")) {
+                return;
+            }
+            store.put("keyed.servers", &own, "");
+        });
+        self.line(&format!("worker {name} of {service} starts at {address}"));
+        let input = child.stdin.take().expect("a pipe");
+        self.workers.lock().unwrap().push(Worker { name, service, zone, port: address.port(), slots, child, input, state });
+    }
+
+    /// Asks for readiness once a second; two misses take a host out of the rotation.
+    fn balance(&self) {
+        let mut misses = vec![0; self.hosts.len()];
+        while !self.stopped.load(Ordering::SeqCst) {
+            for (host, missed) in misses.iter_mut().enumerate() {
+                let address = self.hosts[host].lock().unwrap().readiness;
+                let ready = review_standins::client::probe(address) == Some(200);
+                *missed = if ready { 0 } else { *missed + 1 };
+                self.rotation[host].store(*missed < 2, Ordering::SeqCst);
+            }
+            thread::sleep(Duration::from_secs(1));
+        }
+    }
+
+    fn run_client(&self, client: u64, mut rng: Rng, until: Instant) {
+        let mut kept: Option<(usize, TcpStream, Instant)> = None;
+        let mut number = 0;
+        while Instant::now() < until {
+            let kind = rng.pick(&KINDS);
+            let deadline = Instant::now() + Duration::from_millis(kind.remaining);
+            // One retry, as on the sheets.
+            for attempt in 0..2 {
+                number += 1;
+                let id = format!("{client:x}-{number:x}");
+                let left = deadline.saturating_duration_since(Instant::now());
+                if left < Duration::from_millis(50) {
+                    break;
+                }
+                let open = kept.take().filter(|(_, _, used)| attempt == 0 && used.elapsed() < Duration::from_secs(12) && rng.chance(0.8));
+                let is_kept = open.is_some();
+                let (host, stream) = match open {
+                    Some((host, stream, _)) => (host, stream),
+                    None => {
+                        let ready: Vec<_> = (0..self.hosts.len()).filter(|host| self.rotation[*host].load(Ordering::SeqCst)).collect();
+                        let all: Vec<_> = (0..self.hosts.len()).collect();
+                        let host = *rng.pick(if ready.is_empty() { &all } else { &ready });
+                        let address = self.hosts[host].lock().unwrap().clients;
+                        match TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+                            Ok(stream) => (host, stream),
+                            Err(_) => {
+                                thread::sleep(Duration::from_millis(30));
+                                continue;
+                            }
+                        }
+                    }
+                };
+                let sent = now();
+                let (end, retry_after) = exchange(&stream, &mut rng, kind, &id, left);
+                let whole = matches!(end, End::Status(_) | End::Wrong(..));
+                let keeps = whole && retry_after.is_some();
+                let attempt = Attempt {
+                    id,
+                    service: kind.service,
+                    repeatable: kind.repeatable,
+                    max_attempts: kind.max_attempts,
+                    host,
+                    kept: is_kept,
+                    sent,
+                    remaining: left.as_millis() as Millis,
+                    ended: now(),
+                    end: end.clone(),
+                };
+                self.judge.lock().unwrap().attempts.push(attempt);
+                if keeps {
+                    kept = Some((host, stream, Instant::now()));
+                }
+                let again = match end {
+                    End::Status(429 | 503 | 408 | 421) => true,
+                    End::Status(500..) | End::Broken(_) => kind.repeatable,
+                    _ => false,
+                };
+                if !again {
+                    break;
+                }
+                thread::sleep(retry_after.unwrap_or_default().min(left / 3));
+            }
+            thread::sleep(Duration::from_millis(rng.range(10, 80)));
+        }
+    }
+
+    fn make_trouble(&self, kinds: &str, rng: &mut Rng, until: Instant) {
+        let kinds: Vec<_> = kinds.split(',').collect();
+        thread::sleep(Duration::from_secs(2));
+        thread::scope(|scope| {
+            while Instant::now() + Duration::from_secs(3) < until {
+                let kind = *rng.pick(&kinds);
+                let mut own = Rng::new(rng.next());
+                scope.spawn(move || self.trouble(kind, &mut own));
+                thread::sleep(Duration::from_millis(rng.range(150, 1_500)));
+            }
+        });
+    }
+
+    fn trouble(&self, kind: &str, rng: &mut Rng) {
+        let time = Duration::from_millis(rng.range(300, 4_000));
+        let host = rng.range(0, self.hosts.len() as u64 - 1) as usize;
+        match kind {
+            "worker" => {
+                let (fault, most) = *rng.pick(&FAULTS);
+                let service = *rng.pick(&["desk", "writer"]);
+                let one = rng.chance(0.5).then(|| rng.range(0, 3) as usize);
+                let names: Vec<_> = self.workers.lock().unwrap().iter().filter(|worker| worker.service == service).map(|worker| worker.name.clone()).collect();
+                let names: Vec<_> = names.into_iter().enumerate().filter(|(index, _)| one.is_none_or(|one| *index == one)).map(|(_, name)| name).collect();
+                self.line(&format!("fault {fault} at {names:?} for {time:?}"));
+                for share in [most, 0.0] {
+                    for worker in self.workers.lock().unwrap().iter_mut().filter(|worker| names.contains(&worker.name)) {
+                        let _ = worker.input.write_all(format!("fault {fault} {share}\n").as_bytes());
+                    }
+                    if share > 0.0 {
+                        thread::sleep(time);
+                    }
+                }
+            }
+            "kill" | "drain" => {
+                let Some(mut worker) = self.take_worker(rng) else { return };
+                self.line(&format!("{kind} worker {}", worker.name));
+                if kind == "drain" {
+                    worker.state.store(DRAINING, Ordering::SeqCst);
+                    thread::sleep(Duration::from_millis(2_800));
+                }
+                let _ = worker.child.kill();
+                let at = now();
+                worker.state.store(ENDED, Ordering::SeqCst);
+                self.judge.lock().unwrap().worker_troubles.entry(worker.name.clone()).or_default().push((at, at));
+                let _ = worker.child.wait();
+                thread::sleep(time);
+                // Addresses are used again, also by the other service.
+                let service = if rng.chance(0.15) { *rng.pick(&["desk", "writer"]) } else { worker.service };
+                let port = if rng.chance(0.5) { worker.port } else { 0 };
+                let name = (service == worker.service && rng.chance(0.2)).then(|| worker.name.clone());
+                let _ = worker.slots;
+                self.start_worker(service, worker.zone, port, rng.next() >> 20, name);
+            }
+            "stop" => {
+                let Some(pid) = ({
+                    let workers = self.workers.lock().unwrap();
+                    (!workers.is_empty()).then(|| rng.pick(&workers)).map(|worker| (worker.name.clone(), worker.child.id()))
+                }) else { return };
+                let from = now();
+                self.line(&format!("stop worker {} for {time:?}", pid.0));
+                signal(pid.1, SIGSTOP);
+                thread::sleep(time);
+                signal(pid.1, SIGCONT);
+                self.judge.lock().unwrap().worker_troubles.entry(pid.0).or_default().push((from, now()));
+            }
+            "host" | "freeze" | "term" => {
+                let from = now();
+                self.line(&format!("{kind} edge-{host} for {time:?}"));
+                let pid = self.hosts[host].lock().unwrap().pid() as u32;
+                match kind {
+                    "freeze" => {
+                        signal(pid, SIGSTOP);
+                        thread::sleep(time);
+                        signal(pid, SIGCONT);
+                    }
+                    _ => {
+                        if kind == "term" {
+                            signal(pid, SIGTERM);
+                            let end = Instant::now() + Duration::from_secs(8);
+                            while Instant::now() < end && self.hosts[host].lock().unwrap().ended().is_none() {
+                                thread::sleep(Duration::from_millis(50));
+                            }
+                        }
+                        self.hosts[host].lock().unwrap().kill();
+                        thread::sleep(time / 4);
+                        self.hosts[host].lock().unwrap().start();
+                    }
+                }
+                self.judge.lock().unwrap().host_troubles.push((host, from, now()));
+                if rng.chance(0.1) {
+                    self.hosts[host].lock().unwrap().signal(SIGHUP);
+                }
+            }
+            "link" => {
+                let state = *rng.pick(&[proxy::CUT, proxy::CUT, proxy::DEAF, proxy::RESET]);
+                let share = *rng.pick(&[1.0, 1.0, 0.5]);
+                let links = self.links.lock().unwrap().clone();
+                let chosen: Vec<_> = links.iter().filter(|((of, _), _)| *of == host && rng.chance(share)).collect();
+                let time = if state == proxy::RESET { Duration::from_millis(30) } else { time * 2 };
+                self.line(&format!("links of edge-{host} to {} workers: state {state} for {time:?}", chosen.len()));
+                let from = now();
+                chosen.iter().for_each(|(_, link)| link.set(state));
+                thread::sleep(time);
+                // Bytes that a cut held up are lost if the connection is reset after it.
+                if state == proxy::CUT && rng.chance(0.5) {
+                    chosen.iter().for_each(|(_, link)| link.set(proxy::RESET));
+                    thread::sleep(Duration::from_millis(30));
+                }
+                let current = self.links.lock().unwrap();
+                for (key, link) in &chosen {
+                    if current.get(*key).is_some_and(|known| known.address == link.address) {
+                        link.set(proxy::OPEN);
+                    }
+                }
+                drop(current);
+                let mut judge = self.judge.lock().unwrap();
+                judge.host_troubles.push((host, from, now()));
+                if state != proxy::RESET {
+                    for (key, _) in chosen {
+                        judge.link_troubles.entry(key.clone()).or_default().push((from, now()));
+                    }
+                }
+            }
+            _ => {
+                let state = *rng.pick(&[store::REFUSES, store::MUTE]);
+                let all = rng.chance(0.3);
+                self.line(&format!("store state {state} for {}", if all { "all".to_owned() } else { format!("edge-{host}") }));
+                let views = self.views.iter().enumerate().filter(|(index, _)| all || *index == host);
+                views.clone().for_each(|(_, view)| view.set(state));
+                thread::sleep(time);
+                views.for_each(|(_, view)| view.set(store::UP));
+            }
+        }
+    }
+
+    /// Takes a worker of a service that has others left.
+    fn take_worker(&self, rng: &mut Rng) -> Option<Worker> {
+        let mut workers = self.workers.lock().unwrap();
+        if workers.is_empty() {
+            return None;
+        }
+        let index = rng.range(0, workers.len() as u64 - 1) as usize;
+        let service = workers[index].service;
+        let left = workers.iter().filter(|worker| worker.service == service).count();
+        (left > 1).then(|| workers.remove(index))
+    }
+
+    fn report(&self, seed: u64, folder: &std::path::Path) -> i32 {
+        let judge = self.judge.lock().unwrap();
+        let bounds = Bounds { ratio: 0.2, floor: f64::from(CHARNWOOD.retry_floor), window: 10_000, stability: 3_000 };
+        let (broken, figures) = judge.verdict(&bounds);
+        let mut text = String::new();
+        for (rule, cases) in &broken {
+            text += &format!("{rule}: {} cases\n", cases.len());
+            for case in cases {
+                text += &format!("    {case}\n");
+            }
+        }
+        let _ = fs::write(folder.join("verdict.txt"), &text);
+        let rules: Vec<_> = broken.iter().map(|(rule, cases)| format!("{rule} {}", cases.len())).collect();
+        println!("seed {seed}: {} attempts, {}; broken: {rules:?}", judge.attempts.len(), figures.join(", "));
+        i32::from(broken.keys().any(|rule| !rule.contains("information")))
+    }
+}
+
+fn signal(pid: u32, number: i32) {
+    extern "C" {
+        fn kill(pid: i32, signal: i32) -> i32;
+    }
+    if pid > 0 {
+        // SAFETY: a plain system call; the process is a child of this one.
+        unsafe { kill(pid as i32, number) };
+    }
+    let _ = SIGKILL;
+}
+
+/// Sends one request and reads its answer. Returns how it ended, and when to come back; `None` if the
+/// connection is closed.
+fn exchange(stream: &TcpStream, rng: &mut Rng, kind: &Kind, id: &str, left: Duration) -> (End, Option<Duration>) {
+    let broken = |error: &dyn std::fmt::Display| (End::Broken(error.to_string()), None);
+    let _ = stream.set_nodelay(true);
+    let leaves = rng.chance(0.02).then(|| Duration::from_millis(rng.range(1, 200)));
+    let _ = stream.set_read_timeout(Some(leaves.unwrap_or(left + Duration::from_millis(700))));
+    let _ = stream.set_write_timeout(Some(left));
+    let body = vec![b'x'; if rng.chance(0.1) { 60_000 } else { 60 }];
+    let stream_headers = if kind.service == "writer" { format!("X-Model: m\r\nX-Token-Counts: 5000,552\r\nX-Prompt-Prefix-Hash: 0a:40,{}:4960\r\n", id.replace('-', "")) } else { String::new() };
+    let head = format!(
+        "POST /{}/{id} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n{stream_headers}X-Remaining-Milliseconds: {}\r\nAuthorization: Bearer key-1\r\nContent-Length: {}\r\n\r\n",
+        kind.path,
+        left.as_millis(),
+        body.len()
+    );
+    let Ok(mut writer) = stream.try_clone() else { return broken(&"no descriptor") };
+    let whole = [head.as_bytes(), &body].concat();
+    let split = if rng.chance(0.1) { rng.range(1, whole.len() as u64 - 1) as usize } else { whole.len() };
+    let sent = writer.write_all(&whole[..split]).and_then(|()| {
+        if split < whole.len() {
+            thread::sleep(Duration::from_millis(rng.range(1, 300)));
+        }
+        writer.write_all(&whole[split..])
+    });
+    if let Err(error) = sent {
+        return broken(&error);
+    }
+    let Ok(reading) = stream.try_clone() else { return broken(&"no descriptor") };
+    let mut reader = BufReader::new(reading);
+    let read = read_head(&mut reader).and_then(|head| {
+        let mut message = head.ok_or(std::io::ErrorKind::UnexpectedEof)?;
+        read_body(&mut reader, &mut message)?;
+        Ok(message)
+    });
+    let message = match read {
+        Ok(message) => message,
+        Err(_) if leaves.is_some() => {
+            let _ = stream.shutdown(Shutdown::Both);
+            return (End::Left, None);
+        }
+        Err(error) => return broken(&error),
+    };
+    let status = message.status();
+    let expected = if kind.service == "writer" {
+        (1..=EVENTS).map(|number| stream_event(id, number)).collect::<String>().into_bytes()
+    } else {
+        unframed_body(id)
+    };
+    let closes = message.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let wait = message.header("retry-after").and_then(|text| text.parse().ok()).unwrap_or(0.0);
+    let retry = (!closes && reader.buffer().is_empty()).then(|| Duration::from_secs_f64(wait));
+    if (200..300).contains(&status) && (message.body != expected || message.header("x-response-signature").is_none()) {
+        return (End::Wrong(status, String::from_utf8_lossy(&message.body[message.body.len().saturating_sub(80)..]).into_owned()), None);
+    }
+    (End::Status(status), retry)
+}
--- /dev/null
+++ b/review/standins/src/bin/soak_worker.rs
@@ -0,0 +1,241 @@
+//! A worker of the soak, as a process of its own.
+//!
+//! Arguments: its identifier, its port (0 for any), its slots and the seed of its faults. It prints its
+//! address, then a line for each request: `arrives`, `runs`, `rejects` or `answers`, with the time of day
+//! in milliseconds, the attempt's identifier, the time that the caller states and the caller's port. A line `fault NAME SHARE` on
+//! standard input sets the share of the requests that a fault affects.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use review_standins::http::{read_request, Message};
+use review_standins::rng::Rng;
+use review_standins::socket;
+use review_standins::worker::{stream_event, unframed_body};
+
+struct Worker {
+    name: String,
+    slots: usize,
+    busy: AtomicUsize,
+    rng: Mutex<Rng>,
+    shares: Mutex<HashMap<String, f64>>,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |index: usize| arguments[index].parse::<u64>().expect("a number");
+    let port = u16::try_from(number(1)).expect("a port");
+    let listener = TcpListener::bind(("127.0.0.1", port)).expect("the port is free");
+    let worker = Arc::new(Worker {
+        name: arguments[0].clone(),
+        slots: number(2) as usize,
+        busy: AtomicUsize::new(0),
+        rng: Mutex::new(Rng::new(number(3))),
+        shares: Mutex::default(),
+    });
+    say(&listener.local_addr().expect("an address").to_string());
+    let controlled = Arc::clone(&worker);
+    thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            let mut words = line.split(' ').skip(1);
+            if let (Some(name), Some(Ok(share))) = (words.next(), words.next().map(str::parse)) {
+                controlled.shares.lock().unwrap().insert(name.to_owned(), share);
+            }
+        }
+        // The soak is gone.
+        std::process::exit(0);
+    });
+    for stream in listener.incoming().flatten() {
+        let worker = Arc::clone(&worker);
+        thread::spawn(move || worker.serve(&stream));
+    }
+}
+
+fn say(line: &str) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
+
+impl Worker {
+    fn has(&self, fault: &str) -> bool {
+        let share = self.shares.lock().unwrap().get(fault).copied().unwrap_or(0.0);
+        share > 0.0 && self.rng.lock().unwrap().chance(share)
+    }
+
+    fn range(&self, low: u64, high: u64) -> u64 {
+        self.rng.lock().unwrap().range(low, high)
+    }
+
+    fn pause(&self, low: u64, high: u64) {
+        thread::sleep(Duration::from_millis(self.range(low, high)));
+    }
+
+    fn note(&self, what: &str, id: &str, remaining: &str, stream: &TcpStream) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
+        let port = stream.peer_addr().map_or(0, |address| address.port());
+        say(&format!("{what} {now} {id} {remaining} {port}"));
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let _ = stream.set_nodelay(true);
+        if self.has("unread") {
+            // Closed with unread bytes, which resets the connection.
+            self.pause(0, 30);
+            return;
+        }
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(reading) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reading);
+        loop {
+            let idle = if self.has("idle") { self.range(1, 120) } else { 5_000 };
+            let _ = stream.set_read_timeout(Some(Duration::from_millis(idle)));
+            let mut first = [0];
+            if !matches!(stream.peek(&mut first), Ok(1)) {
+                return;
+            }
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+            let Ok(Some(request)) = read_request(&mut reader) else { return };
+            if !self.respond(&request, stream, &mut writer) {
+                return;
+            }
+        }
+    }
+
+    /// Answers one request; returns whether the connection stays open.
+    fn respond(&self, request: &Message, stream: &TcpStream, writer: &mut TcpStream) -> bool {
+        let plain = |status: &str, body: &str, more: &str| {
+            format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
+        };
+        let send = |writer: &mut TcpStream, text: String| writer.write_all(text.as_bytes()).is_ok();
+        match request.target() {
+            "/health" => return send(writer, plain("200 OK", "", &format!("X-Instance-Id: {}\r\n", self.name))),
+            "/-/report" => {
+                let busy = self.busy.load(Ordering::SeqCst);
+                let body = format!("{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"sequence\":2,\"queuedRequests\":0,\"activeRequests\":{busy},\"kvCacheUsed\":{},\"kvCacheTotal\":450000,\"handles\":0,\"pace\":1.0,\"tickets\":[]}}", busy * 6_000);
+                return send(writer, plain("200 OK", &body, "Content-Type: application/json\r\n"));
+            }
+            "/-/order" => return send(writer, plain("200 OK", "{\"free\":200000}", "Content-Type: application/json\r\n")),
+            _ => {}
+        }
+        // A request that no client sent is named by its target.
+        let id = request.header("x-attempt-id").unwrap_or(request.target()).to_owned();
+        let remaining = request.header("x-remaining-milliseconds").unwrap_or("-").to_owned();
+        self.note("arrives", &id, &remaining, stream);
+        let echo = format!("X-Attempt-Id: {id}\r\n");
+        let named = format!("{echo}X-Not-Executed: 1\r\n");
+        if request.header("x-expected-instance").is_some_and(|name| name != self.name) {
+            self.note("rejects", &id, &remaining, stream);
+            return send(writer, plain("421 Misdirected Request", "", &named));
+        }
+        if self.has("unnamed") {
+            self.note("rejects", &id, &remaining, stream);
+            return send(writer, plain("400 Bad Request", "", "X-Not-Executed: 1\r\n"));
+        }
+        if self.busy.load(Ordering::SeqCst) >= self.slots || self.has("full") {
+            self.note("rejects", &id, &remaining, stream);
+            let kept = send(writer, plain("503 Service Unavailable", "", &named));
+            if kept && self.has("again") {
+                // The refusal is written once more, without the attempt.
+                self.pause(0, 40);
+                return send(writer, plain("503 Service Unavailable", "", "X-Not-Executed: 1\r\n"));
+            }
+            return kept;
+        }
+        self.busy.fetch_add(1, Ordering::SeqCst);
+        self.note("runs", &id, &remaining, stream);
+        let kept = self.run(request, &id, &echo, stream, writer);
+        self.busy.fetch_sub(1, Ordering::SeqCst);
+        kept
+    }
+
+    fn run(&self, request: &Message, id: &str, echo: &str, stream: &TcpStream, writer: &mut TcpStream) -> bool {
+        let deadline = request.header("x-remaining-milliseconds").and_then(|text| text.parse().ok());
+        let until = Instant::now() + Duration::from_millis(deadline.unwrap_or(2_500));
+        if self.has("hang") {
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+            return false;
+        }
+        self.pause(5, 25);
+        if self.has("slow") {
+            self.pause(300, 1_800);
+        }
+        if self.has("lost") {
+            if self.range(0, 1) == 0 {
+                socket::reset_on_close(stream);
+            }
+            return false;
+        }
+        let signed = format!("{echo}X-Response-Signature: {}.{id}\r\n", self.name);
+        if self.has("failed") {
+            let text = format!("HTTP/1.1 500 Internal Server Error\r\n{signed}Content-Length: 4\r\n\r\nfail");
+            return writer.write_all(text.as_bytes()).is_ok();
+        }
+        if request.target().starts_with("/ask") || request.target().starts_with("/tell") {
+            let after = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+            return self.stream(id, &signed, after, stream, writer);
+        }
+        let body = unframed_body(id);
+        let unframed = self.has("unframed");
+        let length = if unframed { "Connection: close\r\n".to_owned() } else { format!("Content-Length: {}\r\n", body.len()) };
+        let head = format!("HTTP/1.1 200 OK\r\n{signed}Content-Type: application/octet-stream\r\n{length}\r\n");
+        let whole = [head.as_bytes(), &body].concat();
+        if self.has("head") || (!unframed && self.has("half")) {
+            // An answer without a length that is cut inside its body looks whole.
+            let cut = if unframed || self.range(0, 1) == 0 { head.len() } else { whole.len() };
+            let cut = self.range(1, cut as u64 - 1) as usize;
+            let _ = writer.write_all(&whole[..cut]);
+            self.pause(0, 5);
+            if self.range(0, 2) == 0 {
+                socket::reset_on_close(stream);
+            }
+            return false;
+        }
+        if writer.write_all(&whole).is_err() || unframed {
+            return false;
+        }
+        self.note("answers", id, "-", stream);
+        if self.has("extra") {
+            self.pause(0, 40);
+            let text = match self.range(0, 2) {
+                0 => whole,
+                1 => format!("HTTP/1.1 503 Service Unavailable\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").into_bytes(),
+                _ => b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_vec(),
+            };
+            return writer.write_all(&text).is_ok();
+        }
+        true
+    }
+
+    /// Streams the events after `after`; returns whether the connection stays open.
+    fn stream(&self, id: &str, signed: &str, after: usize, stream: &TcpStream, writer: &mut TcpStream) -> bool {
+        const EVENTS: usize = 12;
+        let breaks = self.has("half").then(|| self.range(0, EVENTS as u64) as usize);
+        let silent = self.has("silent").then(|| self.range(0, EVENTS as u64) as usize);
+        let head = format!("HTTP/1.1 200 OK\r\n{signed}X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        if writer.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        for number in after + 1..=EVENTS {
+            let event = stream_event(id, number);
+            if breaks == Some(number) {
+                let _ = writer.write_all(format!("{:x}\r\n{}", event.len(), &event[..event.len() / 2]).as_bytes());
+                socket::reset_on_close(stream);
+                return false;
+            }
+            if silent == Some(number) {
+                thread::sleep(Duration::from_secs(4));
+            }
+            if writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
+                return false;
+            }
+            self.pause(10, 30);
+        }
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -3,7 +3,11 @@
 
 pub mod client;
 pub mod http;
+pub mod judge;
 pub mod node;
+pub mod proxy;
 pub mod record;
+pub mod rng;
+pub mod socket;
 pub mod store;
 pub mod worker;
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -57,12 +58,14 @@
     evacuation_ms: None,
 };
 
-/// A port that is free now, for TCP and UDP.
+/// A port that is free now, for TCP and UDP. It lies below those that the system gives to outgoing
+/// connections, so that a host finds it free when it starts again.
 fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = listener.local_addr().expect("an address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add((std::process::id() % 499) as u16 * 40);
+        let port = 12_000 + offset % 20_000;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
@@ -122,6 +125,7 @@
     /// Starts the process. The platform fills in the settings at every start: only the first one of all
     /// says `first_start`.
     pub fn start(&mut self) {
+        self.kill();
         if self.log.exists() {
             let text = fs::read_to_string(&self.settings).expect("the settings were written");
             let text = text.replace("\"first_start\": true", "\"first_start\": false");
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,19 +22,45 @@
     appended: Condvar,
 }
 
+/// Rewrites a record for the host that reads it.
+pub type Rewrite = Arc<dyn Fn(&[u8]) -> Vec<u8> + Send + Sync>;
+
+/// The store answers.
+pub const UP: u8 = 0;
+/// The store refuses each call.
+pub const REFUSES: u8 = 1;
+/// The store carries out each call and does not answer.
+pub const MUTE: u8 = 2;
+
 /// The store. It loses nothing that it has acknowledged.
 #[derive(Clone)]
 pub struct Store {
     inner: Arc<Inner>,
     pub address: SocketAddr,
+    rewrite: Rewrite,
+    state: Arc<AtomicU8>,
 }
 
 impl Store {
     /// Starts the store on a free port.
     pub fn start() -> Self {
+        Self::listen(Arc::default(), Arc::new(<[u8]>::to_vec))
+    }
+
+    /// Starts another address of the store, at which records are read as `rewrite` returns them.
+    pub fn view(&self, rewrite: Rewrite) -> Self {
+        Self::listen(Arc::clone(&self.inner), rewrite)
+    }
+
+    /// Sets how the store behaves at this address.
+    pub fn set(&self, state: u8) {
+        self.state.store(state, Ordering::SeqCst);
+    }
+
+    fn listen(inner: Arc<Inner>, rewrite: Rewrite) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let store = Self { inner: Arc::default(), address };
+        let store = Self { inner, address, rewrite, state: Arc::default() };
         let server = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -49,6 +76,13 @@
         self.append(topic, key, value.as_bytes());
     }
 
+    /// Whether the newest record of a key contains `text`.
+    pub fn lists(&self, topic: &str, key: &str, text: &str) -> bool {
+        let topics = self.inner.topics.lock().unwrap();
+        let newest = topics.get(topic).and_then(|topic| topic.newest.get(key));
+        newest.is_some_and(|(_, value)| String::from_utf8_lossy(value).contains(text))
+    }
+
     fn append(&self, topic: &str, key: &str, value: &[u8]) -> usize {
         let mut topics = self.inner.topics.lock().unwrap();
         let topic = topics.entry(topic.to_owned()).or_default();
@@ -68,7 +102,14 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            let (status, body) = self.respond(&request);
+            let (status, body) = match self.state.load(Ordering::SeqCst) {
+                REFUSES => (503, Vec::new()),
+                MUTE => {
+                    self.respond(&request);
+                    continue;
+                }
+                _ => self.respond(&request),
+            };
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -118,7 +159,7 @@
             .newest
             .iter()
             .map(|(key, (offset, value))| {
-                format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(&(self.rewrite)(value)))
             })
             .collect();
         let end = topic.records.len();
@@ -142,11 +183,12 @@
         body.extend_from_slice(&(topic.records.len() as u64).to_be_bytes());
         body.extend_from_slice(&0_u64.to_be_bytes());
         for (key, value) in topic.records.iter().skip(from) {
+            let value = (self.rewrite)(value);
             let length = (1 + key.len() + value.len()) as u32;
             body.extend_from_slice(&length.to_be_bytes());
             body.push(key.len() as u8);
             body.extend_from_slice(key.as_bytes());
-            body.extend_from_slice(value);
+            body.extend_from_slice(&value);
         }
         body
     }
