--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -60,8 +60,8 @@
     Response(response::Parts, bytes::Bytes),
     /// A server error that is signed by the endpoint itself.
     Failed(response::Parts, bytes::Bytes),
-    /// The endpoint did not run the call.
-    NotRun,
+    /// The endpoint did not run the call, with the reason.
+    NotRun(String),
     /// Nothing was sent, with what this says about the endpoint and the reason.
     Unsent(Observation, String),
     /// Nothing was sent, because the endpoint must get nothing new.
@@ -124,7 +124,7 @@
                 attempts.record_run(endpoint);
                 last_failure = Some((head, body));
             }
-            Outcome::NotRun => attempts.record_rejected(endpoint),
+            Outcome::NotRun(_) => attempts.record_rejected(endpoint),
             Outcome::Unsent(..) | Outcome::Withheld => attempts.record_unsent(endpoint),
             Outcome::Broken(_) => {
                 attempts.record_run(endpoint);
@@ -247,16 +247,17 @@
             &head.headers,
             exchange.is_reused(),
         );
+        let description = exchange.describe();
         if class == ResponseClass::Mismatched {
             // Dropping the exchange closes the connection, whose responses no longer match the
             // requests.
-            return Ok(Err(MISMATCHED_RESPONSE.to_owned()));
+            return Ok(Err(format!("{MISMATCHED_RESPONSE}: {description}")));
         }
         let (head, body) = exchange.collect(MAX_RESPONSE_BYTES).await?;
-        Ok(Ok((class, head, body)))
+        Ok(Ok(classify(class, head, body, description)))
     };
     match timeout(limit, exchange).await {
-        Ok(Ok(Ok((class, head, body)))) => classify(class, head, body),
+        Ok(Ok(Ok(outcome))) => outcome,
         Ok(Ok(Err(reason))) => Outcome::Uncertain(reason),
         Ok(Err(Failure::Unsent(reason))) => Outcome::Unsent(Observation::Unresponsive, reason),
         Ok(Err(Failure::Refused(reason))) => Outcome::Unsent(Observation::Gone, reason),
@@ -272,10 +273,15 @@
     }
 }
 
-fn classify(class: ResponseClass, head: response::Parts, body: bytes::Bytes) -> Outcome {
+fn classify(
+    class: ResponseClass,
+    head: response::Parts,
+    body: bytes::Bytes,
+    description: String,
+) -> Outcome {
     match class {
         ResponseClass::Mismatched => Outcome::Uncertain(MISMATCHED_RESPONSE.to_owned()),
-        ResponseClass::NotRun(_) => Outcome::NotRun,
+        ResponseClass::NotRun(_) => Outcome::NotRun(description),
         ResponseClass::Unsigned => Outcome::Uncertain(UNSIGNED_RESPONSE.to_owned()),
         ResponseClass::Valid if head.status.is_server_error() => Outcome::Failed(head, body),
         ResponseClass::Valid => Outcome::Response(head, body),
@@ -308,7 +314,7 @@
             record(Observation::Failed);
             ("failed", head.status.to_string())
         }
-        Outcome::NotRun => ("not_run", String::new()),
+        Outcome::NotRun(reason) => ("not_run", reason.clone()),
         Outcome::Withheld => ("withheld", String::new()),
         Outcome::Unsent(observation, reason) => {
             record(*observation);
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -385,7 +385,8 @@
         let class = dialect.classify_response(id, head.status, &head.headers, exchange.is_reused());
         match class {
             ResponseClass::Mismatched => {
-                self.record_failure(&engine, Observation::Failed, MISMATCHED_RESPONSE);
+                let reason = format!("{MISMATCHED_RESPONSE}: {}", exchange.describe());
+                self.record_failure(&engine, Observation::Failed, &reason);
                 return Err(None);
             }
             ResponseClass::Unsigned => {
@@ -395,7 +396,7 @@
             ResponseClass::NotRun(at_fault) => {
                 let named =
                     at_fault.and_then(|address| self.pipeline.registry.endpoint_at(address));
-                self.log_send(&engine, "not_run", head.status.as_str());
+                self.log_send(&engine, "not_run", &exchange.describe());
                 let at_fault = named.unwrap_or_else(|| engine.identity());
                 self.attempts.record_rejected(at_fault);
                 self.exclude_unreached(&engine, at_fault);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -450,6 +450,14 @@
         self.opening.is_none()
     }
 
+    /// Returns the status of the response and the kind of its connection, for logs.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let status = self.head.status.as_u16();
+        let connection = if self.is_reused() { "kept" } else { "new" };
+        format!("{status} on a {connection} connection")
+    }
+
     /// Whether the body has a length or comes in chunks. If not, it ends with the connection.
     #[must_use]
     pub fn is_framed(&self) -> bool {
