Believe only refusals that state that nothing was run

Callers got an endpoint's 408, 429 or 503 unchanged also where the endpoint did not state that it had not run the request. To callers these statuses promise just that, so a request that had run counted as refused (REFUSED), and was sent again.

The cause is that the status of a failure was taken for the endpoint's own matter; the statement was asked for only before a further attempt. Such a response now counts as a failed run: requests that may be repeated go to another endpoint, and the caller gets 502. A host that asks another one does the same with what a host of an earlier build forwards.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -49,6 +49,8 @@
     RefuseAnother,
     /// Runs the request and responds with status 500.
     Fail,
+    /// Runs the request and responds with this status, which promises that it has not run.
+    Deny(u16),
 }
 
 /// A request that an endpoint has started to run.
@@ -446,8 +448,12 @@
             self.record_end(run);
             Response::new(Body::whole("done"))
         };
-        if fault == Some(Fault::Fail) {
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        match fault {
+            Some(Fault::Fail) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+            Some(Fault::Deny(status)) => {
+                *response.status_mut() = StatusCode::from_u16(status).ok()?;
+            }
+            _ => {}
         }
         let headers = response.headers_mut();
         let signature = HeaderValue::from_str(&self.name).ok()?;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -83,6 +83,9 @@
     /// The endpoint did not run the request. Carries the address of the endpoint at fault if the
     /// response names one.
     NotRun(Option<SocketAddr>),
+    /// The endpoint's own failure. Its status promises that the request has not run, and the endpoint
+    /// does not state that.
+    Unproven,
     /// The response does not count as signed by the endpoint.
     Unsigned,
     /// The endpoint's own, signed response to this request.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -22,12 +22,12 @@
 use crate::adapter::ResponseClass;
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::{Body, Error};
-use crate::headers::{Format, end_to_end};
+use crate::headers::{Format, end_to_end, error_response};
 use crate::link::Links;
 use crate::loan;
 use crate::observe;
 use crate::pipeline::Pipeline;
-use crate::plain::{MAX_RESPONSE_BYTES, build_response};
+use crate::plain::{MAX_RESPONSE_BYTES, UNPROVEN_REFUSAL, build_response};
 use crate::transport::{Exchange, Failure};
 
 /// Maximum number of hosts that are asked to serve one request.
@@ -288,10 +288,15 @@
             return Ok(Outcome::Stream(Upstream { exchange, running }, report));
         }
         let (head, body) = exchange.collect(MAX_RESPONSE_BYTES).await?;
-        let response = build_response(&head, body);
+        let response = if class == ResponseClass::Unproven {
+            // A host of an earlier build forwards it.
+            error_response(StatusCode::BAD_GATEWAY, None, UNPROVEN_REFUSAL)
+        } else {
+            build_response(&head, body)
+        };
         // Responses of the host itself are not signed by an endpoint.
         let is_own = matches!(class, ResponseClass::Mismatched | ResponseClass::Unsigned);
-        Ok(match head.status {
+        Ok(match response.status() {
             StatusCode::SERVICE_UNAVAILABLE if is_own => Outcome::Refused(response, report),
             status if status.is_server_error() => Outcome::Failed(response, report),
             _ => Outcome::Response(response),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -31,6 +31,9 @@
 /// Logged reason for a response without the endpoint's signature.
 pub(crate) const UNSIGNED_RESPONSE: &str = "the response is not signed by the endpoint";
 
+/// Logged reason for a response whose status promises what the endpoint does not state.
+pub(crate) const UNPROVEN_REFUSAL: &str = "the endpoint does not state that nothing was run";
+
 /// Logged reason for a request whose time ended before its connection was open.
 pub(crate) const NO_CONNECTION: &str = "no connection before the end of the request's time";
 
@@ -282,6 +285,7 @@
     match class {
         ResponseClass::Mismatched => Outcome::Uncertain(MISMATCHED_RESPONSE.to_owned()),
         ResponseClass::NotRun(_) => Outcome::NotRun(description),
+        ResponseClass::Unproven => Outcome::Uncertain(UNPROVEN_REFUSAL.to_owned()),
         ResponseClass::Unsigned => Outcome::Uncertain(UNSIGNED_RESPONSE.to_owned()),
         ResponseClass::Valid if head.status.is_server_error() => Outcome::Failed(head, body),
         ResponseClass::Valid => Outcome::Response(head, body),
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -25,7 +25,9 @@
 use crate::headers::{Format, end_to_end};
 use crate::pipeline::Pipeline;
 use crate::placer::Placement;
-use crate::plain::{MISMATCHED_RESPONSE, NO_CONNECTION, UNSIGNED_RESPONSE, build_response};
+use crate::plain::{
+    MISMATCHED_RESPONSE, NO_CONNECTION, UNPROVEN_REFUSAL, UNSIGNED_RESPONSE, build_response,
+};
 use crate::quarantine::Admission;
 use crate::reservation::{self, Reservations};
 use crate::transport::{Exchange, Failure};
@@ -389,6 +391,10 @@
                 self.record_failure(&engine, Observation::Failed, &reason);
                 return Err(None);
             }
+            ResponseClass::Unproven => {
+                self.record_failure(&engine, Observation::Failed, UNPROVEN_REFUSAL);
+                return Err(None);
+            }
             ResponseClass::Unsigned => {
                 self.record_failure(&engine, Observation::Failed, UNSIGNED_RESPONSE);
                 return Err(None);
