Do not take half an unframed answer of a killed endpoint for a whole one

A worker is killed in the middle of an answer without a length.

The end of the connection was taken for the end of every such answer. Only for streams that may be resumed the host asked whether the endpoint still accepts connections, and it asked at once: the kernel closes the connections of a killed process before its listener, so the answer was mostly yes. Calls and all streams are now checked, after the time in which a process closes its sockets.

--- a/crates/relay/src/broken.rs
+++ b/crates/relay/src/broken.rs
@@ -1,15 +1,32 @@
 //! Runs whose connection ended before their response did.
 
+use std::time::Duration;
+
 use kernel::catalogue::Entry;
 use kernel::clock::Instant;
 use kernel::place::LoadId;
 use kernel::quarantine::{EVENTS_AT_START, Suspect};
+use tokio::time::sleep;
 
 use crate::accepted::Accepted;
 use crate::pipeline::Pipeline;
 use crate::quarantine::Crashed;
 use crate::transport::Reachability;
 
+/// Logged reason for a response without a length that ended when its endpoint did.
+pub(crate) const ENDPOINT_GONE: &str = "the endpoint ended with the connection";
+
+/// Time within which the system closes all sockets of a process that ends. It may close the listener
+/// after the connections.
+const EXIT_TIME: Duration = Duration::from_millis(25);
+
+/// Returns whether a response without a length ended because its endpoint did, so that there may be
+/// more of it. The system closes the connections of a process that ends like those of one that is done.
+pub(crate) async fn ended_with_endpoint(pipeline: &Pipeline, endpoint: &Entry) -> bool {
+    sleep(EXIT_TIME).await;
+    pipeline.dialer.probe(endpoint.address).await == Reachability::Refuses
+}
+
 /// A broken run of a request at an endpoint.
 pub(crate) struct Run<'a> {
     /// The endpoint.
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -17,7 +17,7 @@
 use crate::detour;
 use crate::observe;
 use crate::path::Watch;
-use crate::transport::{Exchange, Reachability};
+use crate::transport::Exchange;
 
 /// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
 /// after 2 s.
@@ -27,8 +27,6 @@
 const PARTIAL_EVENT: &str = "the stream ended inside an event";
 /// Logged reason for a stream that ended with its connection before any event.
 const NO_EVENT: &str = "the connection ended before the first event";
-/// Logged reason for a stream that ended with its connection, and its engine with it.
-const ENGINE_GONE: &str = "the engine ended with the connection";
 
 /// How the relaying of one engine's stream ended.
 enum End {
@@ -81,8 +79,11 @@
                     continue;
                 }
             }
-            if matches!(end, End::Complete) && self.ended_with_engine(&upstream).await {
-                end = End::Broken(ENGINE_GONE.to_owned());
+            if matches!(end, End::Complete)
+                && !upstream.exchange.is_framed()
+                && broken::ended_with_endpoint(&self.pipeline, &upstream.engine).await
+            {
+                end = End::Broken(broken::ENDPOINT_GONE.to_owned());
             }
             let broke = matches!(end, End::Broken(_));
             let reason = match end {
@@ -207,16 +208,6 @@
         None
     }
 
-    /// Returns whether an answer without a length ended because its engine did, so that there may
-    /// be more of it. If not, a resumed run has nothing left to send.
-    async fn ended_with_engine(&self, upstream: &Upstream) -> bool {
-        if !self.accepted.route.resumable || upstream.exchange.is_framed() {
-            return false;
-        }
-        let probed = self.pipeline.dialer.probe(upstream.engine.address).await;
-        probed == Reachability::Refuses
-    }
-
     /// Records that a run broke.
     async fn record_break(&mut self, upstream: &Upstream, splitter: &Splitter) {
         let run = broken::Run {
@@ -235,9 +226,7 @@
     fn record_completion(&self, upstream: &Upstream, splitter: &Splitter) {
         let events = splitter.events() - upstream.events_before;
         self.accepted.log_completed(&upstream.engine, events);
-        // An answer without a length may be incomplete, unless `ended_with_engine` has checked it.
-        let complete = upstream.exchange.is_framed() || self.accepted.route.resumable;
-        if events > 0 && complete {
+        if events > 0 {
             let quarantine = &self.pipeline.quarantine;
             quarantine.record_completion(&self.accepted.suspects, upstream.began);
         }
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -13,6 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, response};
+use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -465,6 +466,13 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Whether the end of the connection is the end of the body, and the body has not ended with the
+    /// head.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        !self.is_framed() && !self.body.is_end_stream()
+    }
+
     /// Keeps the connection for reuse after the end of the body, unless the peer closes it.
     pub fn finish(self) {
         self.connection.finish(&self.head.headers);
