Answer every request that was read before a host exits

In a planned stop, requests that were read late in the grace period were passed on, and cut off without an answer when the process exited; so were prompts that waited for an engine, and requests that an endpoint still ran.

Whether a request is taken was decided when its head had arrived, but its body may take seconds, and the queue did not know that the host ends. And when the grace period was over, the process exited whatever still ran.

The stages of the shutdown are now known to the whole pipeline. Once the host no longer takes requests, those of which nothing was sent to an endpoint are refused with 503, which is true: those whose body is read by then, and those that wait. 200 ms before the exit, what still runs gets a final response that promises nothing (502); a host that asked this one counts its loan as used.

--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -49,6 +49,8 @@
     RefuseAnother,
     /// Runs the request and responds with status 500.
     Fail,
+    /// Runs the call and responds with a body of this many bytes.
+    Large(usize),
     /// Runs the request and responds with this status, which promises that it has not run.
     Deny(u16),
 }
@@ -446,7 +448,10 @@
             Response::new(self.stream_body(&request, run, fault))
         } else {
             self.record_end(run);
-            Response::new(Body::whole("done"))
+            Response::new(match fault {
+                Some(Fault::Large(bytes)) => Body::whole(vec![b'.'; bytes]),
+                _ => Body::whole("done"),
+            })
         };
         match fault {
             Some(Fault::Fail) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -10,6 +10,7 @@
 use crate::body::Body;
 use crate::budget::Budgets;
 use crate::headers::error_response;
+use crate::shutdown;
 
 /// Reason why a request is given up without a response from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     Expired,
     /// This host reaches no endpoint, and no other host serves its requests.
     CutOff,
+    /// This host shuts down.
+    ShuttingDown,
     /// No further attempt is allowed, or no endpoint is left to try.
     Exhausted,
 }
@@ -41,6 +44,7 @@
             Self::Evacuated(_) => "all endpoints of the service are evacuated: come back later",
             Self::Expired => "the request's time has passed",
             Self::CutOff => "no endpoint can be reached: come back shortly",
+            Self::ShuttingDown => "this host is shutting down: send the request to another one",
             Self::Exhausted => "every allowed attempt failed",
         }
     }
@@ -230,6 +234,11 @@
         self.maybe_ran
     }
 
+    /// Records that the request is given up while an attempt may be under way.
+    pub const fn record_interrupted(&mut self) {
+        self.maybe_ran = true;
+    }
+
     /// Disallows further attempts.
     pub const fn exhaust(&mut self) {
         self.account.close();
@@ -253,6 +262,11 @@
                 | GiveUp::Quarantined(retry_after)
                 | GiveUp::Evacuated(retry_after),
             ) => error_response(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), reason),
+            (false, GiveUp::ShuttingDown) => error_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(shutdown::RETRY_AFTER),
+                reason,
+            ),
             (false, _) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER), reason)
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod reservation;
 pub mod server;
 pub mod settings;
+mod shutdown;
 mod stream;
 pub mod transport;
 
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -33,8 +33,9 @@
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
+use crate::shutdown::{Shutdown, Stage};
 use crate::transport::Dialer;
-use crate::{detour, loan, observe, plain, stream};
+use crate::{detour, loan, observe, plain, shutdown, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -76,6 +77,8 @@
     pub budgets: Budgets,
     /// Connections to endpoints.
     pub dialer: Dialer,
+    /// Stage of this host's shutdown.
+    pub shutdown: Arc<Shutdown>,
     /// Reads and writes the platform's headers.
     pub dialect: Arc<dyn Dialect>,
     /// Memory reservations at engines.
@@ -195,27 +198,66 @@
     request: Request<Incoming>,
     origin: Origin,
 ) -> Response<Body> {
+    let stages = Arc::clone(&pipeline.shutdown);
     let arrived = pipeline.clock.now();
     let starting = (pipeline.started + START_TIME).since(arrived);
     if !starting.is_zero() {
         pipeline.registry.wait_until_serving(starting).await;
     }
-    match accept(&pipeline, request, origin, arrived).await {
+    let accepting = async {
+        let accepted = accept(&pipeline, request, origin, arrived).await;
+        accepted.and_then(|accepted| {
+            if stages.has_reached(Stage::Closing) {
+                Err(refuse_at_shutdown(&accepted.metadata))
+            } else {
+                Ok(accepted)
+            }
+        })
+    };
+    let accepted = tokio::select! {
+        accepted = accepting => accepted,
+        () = stages.wait_until(Stage::Ending) => Err(refuse_at_shutdown(&Metadata::default())),
+    };
+    let accepted = match accepted {
+        Ok(accepted) => accepted,
         Err(response) => {
             observe::count_request(None, response.status());
-            response
+            return response;
         }
-        Ok(accepted) => {
-            let kind = accepted.route.kind;
-            let mut attempts = Attempts::new(&accepted.route, accepted.loan());
-            let mut response = serve(pipeline, accepted, &mut attempts).await;
-            if origin == Origin::Host {
-                loan::insert_report(response.headers_mut(), attempts.report());
-            }
-            observe::count_request(Some(kind), response.status());
-            response
+    };
+    let kind = accepted.route.kind;
+    let id = accepted.id().to_owned();
+    let mut attempts = Attempts::new(&accepted.route, accepted.loan());
+    let served = tokio::select! {
+        biased;
+        response = serve(pipeline, accepted, &mut attempts) => Some(response),
+        () = stages.wait_until(Stage::Ending) => None,
+    };
+    let response = if let Some(mut response) = served {
+        if origin == Origin::Host {
+            loan::insert_report(response.headers_mut(), attempts.report());
         }
-    }
+        response
+    } else {
+        // An attempt may be under way, so there is no report either.
+        attempts.record_interrupted();
+        observe::count_given_up(GiveUp::ShuttingDown.as_str());
+        log::info!("event=interrupted request={id} reason=\"the host shuts down\"");
+        attempts.final_response(GiveUp::ShuttingDown)
+    };
+    observe::count_request(Some(kind), response.status());
+    response
+}
+
+fn refuse_at_shutdown(metadata: &Metadata) -> Response<Body> {
+    let reason = GiveUp::ShuttingDown.as_str();
+    let retry_after = Some(shutdown::RETRY_AFTER);
+    refuse(
+        metadata,
+        StatusCode::SERVICE_UNAVAILABLE,
+        retry_after,
+        reason,
+    )
 }
 
 async fn serve(
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -37,8 +37,9 @@
 use crate::placer::Placer;
 use crate::quarantine::{self, Quarantine};
 use crate::registry::Registry;
-use crate::server::{Server, Stage};
+use crate::server::Server;
 use crate::settings::{Listen, Settings};
+use crate::shutdown::{Shutdown, Stage};
 use crate::transport::Dialer;
 
 /// Interval at which waiting streams are assigned again, because engines may become free by the
@@ -51,6 +52,8 @@
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_700);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the grace period in which requests that still run get their final responses.
+const ENDING_TIME: Duration = Duration::from_millis(200);
 /// Interval of checking whether all requests of a draining host have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -72,6 +75,7 @@
     links: Arc<Links>,
     hosts: Arc<Hosts>,
     server: Arc<Server>,
+    shutdown: Arc<Shutdown>,
     draining: Arc<AtomicBool>,
     client_address: SocketAddr,
     metrics_address: Option<SocketAddr>,
@@ -146,6 +150,7 @@
             ],
         };
         let hosts = Arc::new(Hosts::new(own, holder, location, socket, tables));
+        let shutdown = Arc::new(Shutdown::default());
         let pipeline = Arc::new(Pipeline {
             registry: Arc::clone(&registry),
             placer: Arc::clone(&placer),
@@ -157,6 +162,7 @@
             quarantine: Arc::clone(&quarantine),
             budgets: Budgets::new(&settings.retry, Arc::clone(&fleet), clock),
             dialer,
+            shutdown: Arc::clone(&shutdown),
             dialect: dependencies.dialect,
             memory: dependencies.memory,
             clock,
@@ -213,6 +219,7 @@
             links,
             hosts,
             server,
+            shutdown,
             draining,
             client_address: address,
             metrics_address: bound_metrics_address,
@@ -243,28 +250,38 @@
     }
 
     /// Reports the host as not ready to the load balancer, and waits within the grace period until
-    /// all requests have ended.
+    /// all requests have ended. Before its end, requests that still run get a final response.
     ///
-    /// Returns whether all requests have ended.
+    /// Returns whether all requests ended by themselves.
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.server.running());
         self.draining.store(true, Ordering::SeqCst);
         self.links.drain(&self.hosts);
-        self.server.enter(Stage::Draining);
-        let drained = timeout(self.grace.saturating_sub(EXIT_MARGIN), async {
+        self.shutdown.enter(Stage::Draining);
+        let serving = self.grace.saturating_sub(EXIT_MARGIN + ENDING_TIME);
+        let drained = timeout(serving, async {
             sleep(DEREGISTRATION_DELAY).await;
-            self.server.enter(Stage::Closing);
-            while self.server.running() > 0 {
-                sleep(DRAIN_POLL_INTERVAL).await;
-            }
+            self.shutdown.enter(Stage::Closing);
+            self.wait_until_finished().await;
         });
         let whole = drained.await.is_ok();
+        if !whole {
+            self.shutdown.enter(Stage::Ending);
+            // The process exits whether or not all responses are written.
+            let _ = timeout(ENDING_TIME, self.wait_until_finished()).await;
+        }
         log::info!(
             "event=drained whole={whole} running={}",
             self.server.running()
         );
         whole
     }
+
+    async fn wait_until_finished(&self) {
+        while self.server.running() > 0 {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn new_placer(
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -19,7 +19,6 @@
 use kernel::detour;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::accepted::Origin;
@@ -28,6 +27,7 @@
 use crate::headers::error_response;
 use crate::observe;
 use crate::pipeline::{self, Pipeline};
+use crate::shutdown::{Shutdown, Stage};
 use crate::transport;
 
 /// Maximum buffer size of a client connection, in bytes. The head of a request must fit into it.
@@ -47,28 +47,11 @@
     running: AtomicUsize,
     /// Running requests of other hosts; they also count as running.
     guests: AtomicUsize,
-    stage: watch::Sender<Stage>,
-}
-
-/// Shutdown stage of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// Accepts connections and serves requests.
-    Serving,
-    /// Serves requests, and closes each connection after its next response.
-    Draining,
-    /// Closes idle connections and refuses new requests, which might not finish before the process
-    /// exits.
-    Closing,
 }
 
 /// Time for which a connection without a request stays open in [`Stage::Closing`], so that its
 /// first request gets a 503 response instead of a closed connection.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(400);
-/// `Retry-After` of requests refused in [`Stage::Closing`]; the client retries over a new
-/// connection to another host.
-const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// `Retry-After` of requests of other hosts that are refused so that those of own callers come first.
 const GUEST_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -150,7 +133,6 @@
             clock,
             running: AtomicUsize::new(0),
             guests: AtomicUsize::new(0),
-            stage: watch::Sender::new(Stage::Serving),
         }
     }
 
@@ -167,9 +149,8 @@
         detour::takes_guest(guests.saturating_sub(1), own)
     }
 
-    /// Moves the server to a shutdown stage.
-    pub fn enter(&self, stage: Stage) {
-        self.stage.send_replace(stage);
+    fn shutdown(&self) -> &Shutdown {
+        &self.pipeline.shutdown
     }
 
     /// Accepts connections of clients or of other hosts until the task is aborted.
@@ -258,9 +239,7 @@
 
     /// Returns when the connection must close because the host shuts down.
     async fn wait_until_closing(&self, activity: &Mutex<Activity>) {
-        let mut stage = self.stage.subscribe();
-        // Cannot fail: `self` owns the sender.
-        let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+        self.shutdown().wait_until(Stage::Closing).await;
         if !activity.lock().served {
             sleep(FIRST_REQUEST_GRACE).await;
         }
@@ -272,11 +251,7 @@
         origin: Origin,
         active: ActiveRequest,
     ) -> Result<Response<TrackedBody>, Infallible> {
-        let mut response = if *self.stage.borrow() == Stage::Closing {
-            let reason = "this host is shutting down: send the request to another one";
-            let retry_after = Some(CLOSING_RETRY_AFTER);
-            error_response(StatusCode::SERVICE_UNAVAILABLE, retry_after, reason)
-        } else if origin == Origin::Host && !self.takes_guest() {
+        let mut response = if origin == Origin::Host && !self.takes_guest() {
             observe::count_detour("declined");
             let reason = "this host has too many requests of other hosts";
             error_response(
@@ -287,7 +262,7 @@
         } else {
             pipeline::handle(Arc::clone(&self.pipeline), request, origin).await
         };
-        if *self.stage.borrow() != Stage::Serving {
+        if self.shutdown().has_reached(Stage::Draining) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -30,6 +30,7 @@
 };
 use crate::quarantine::Admission;
 use crate::reservation::{self, Reservations};
+use crate::shutdown::Stage;
 use crate::transport::{Exchange, Failure};
 
 /// Time beyond twice the predicted time to the first event after which an engine counts as
@@ -175,6 +176,7 @@
                     Err(GiveUp::Quarantined(rest))
                 }
                 () = self.wait_for_detour() => Err(GiveUp::Exhausted),
+                () = self.wait_for_shutdown() => Err(GiveUp::ShuttingDown),
                 placed = self.place() => placed,
             };
             let placement = match placed {
@@ -206,6 +208,14 @@
         }
     }
 
+    /// Returns when the host no longer begins answers, unless this one has begun.
+    async fn wait_for_shutdown(&self) {
+        if self.format.is_some() {
+            std::future::pending::<()>().await;
+        }
+        self.pipeline.shutdown.wait_until(Stage::Closing).await;
+    }
+
     async fn place(&self) -> Result<Placement, GiveUp> {
         let accepted = &self.accepted;
         let remaining = accepted.deadline.since(self.pipeline.clock.now());
