Wait until slow clients have their answers before a host exits

A request counted as running until the HTTP library had taken its last bytes, not until they were written. The shutdown now also waits, within the grace period, for the connections on which a request was read.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -250,7 +250,8 @@
     }
 
     /// Reports the host as not ready to the load balancer, and waits within the grace period until
-    /// all requests have ended. Before its end, requests that still run get a final response.
+    /// all requests have ended and their responses are written. Before its end, requests that still
+    /// run get a final response.
     ///
     /// Returns whether all requests ended by themselves.
     pub async fn drain(&self) -> bool {
@@ -278,7 +279,7 @@
     }
 
     async fn wait_until_finished(&self) {
-        while self.server.running() > 0 {
+        while !self.server.is_finished() {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -47,6 +47,8 @@
     running: AtomicUsize,
     /// Running requests of other hosts; they also count as running.
     guests: AtomicUsize,
+    /// Connections on which a request was read, and whose last response may not be written yet.
+    unwritten: AtomicUsize,
 }
 
 /// Time for which a connection without a request stays open in [`Stage::Closing`], so that its
@@ -77,7 +79,10 @@
         {
             let mut activity = activity.lock();
             activity.running += 1;
-            activity.served = true;
+            if !activity.served {
+                activity.served = true;
+                server.unwritten.fetch_add(1, Ordering::SeqCst);
+            }
         }
         Self {
             server,
@@ -133,6 +138,7 @@
             clock,
             running: AtomicUsize::new(0),
             guests: AtomicUsize::new(0),
+            unwritten: AtomicUsize::new(0),
         }
     }
 
@@ -149,6 +155,12 @@
         detour::takes_guest(guests.saturating_sub(1), own)
     }
 
+    /// Whether no request is running and all responses are written.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.running() == 0 && self.unwritten.load(Ordering::SeqCst) == 0
+    }
+
     fn shutdown(&self) -> &Shutdown {
         &self.pipeline.shutdown
     }
@@ -208,6 +220,9 @@
                 connection.await
             }
         };
+        if activity.lock().served {
+            self.unwritten.fetch_sub(1, Ordering::SeqCst);
+        }
         if let Err(error) = ended {
             log::debug!("event=connection_ended error={error}");
         }
