--- a/review/standins/src/bin/soak.rs
+++ b/review/standins/src/bin/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! Arguments: the repository or work tree whose `target/release/filbertstage` is played, a folder for the
 //! record and the logs, the seed, the seconds. `SOAK_HOSTS`, `SOAK_CLIENTS` set how many there are, `SOAK_FAULTS`
-//! which kinds of faults come (all by default). Exits with 1 if a rule is broken.
+//! which kinds of faults come and `SOAK_WORKER_FAULTS` which of workers (all by default). Exits with 1 if a rule is broken.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
@@ -83,6 +83,8 @@
     /// Whether the balancer sends new connections to a host.
     rotation: Arc<Vec<AtomicBool>>,
     workers: Mutex<Vec<Worker>>,
+    /// The faults of workers that come.
+    faults: Vec<(&'static str, f64)>,
     numbers: AtomicU64,
     stopped: AtomicBool,
 }
@@ -142,6 +144,7 @@
                 }))
             })
             .collect();
+        let chosen = std::env::var("SOAK_WORKER_FAULTS").unwrap_or_default();
         let hosts = views.iter().enumerate().map(|(host, view)| {
             Mutex::new(Node::prepare(root, folder, &format!("edge-{host}"), &CHARNWOOD, CHARNWOOD.zones[host % 3], view.address))
         });
@@ -155,6 +158,7 @@
             rotation: Arc::new(hosts.iter().map(|_| AtomicBool::new(true)).collect()),
             hosts,
             workers: Mutex::default(),
+            faults: FAULTS.into_iter().filter(|(name, _)| chosen.is_empty() || chosen.split(',').any(|known| known == *name)).collect(),
             numbers: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         }
@@ -351,7 +355,7 @@
         let host = rng.range(0, self.hosts.len() as u64 - 1) as usize;
         match kind {
             "worker" => {
-                let (fault, most) = *rng.pick(&FAULTS);
+                let (fault, most) = *rng.pick(&self.faults);
                 let service = *rng.pick(&["desk", "writer"]);
                 let one = rng.chance(0.5).then(|| rng.range(0, 3) as usize);
                 let names: Vec<_> = self.workers.lock().unwrap().iter().filter(|worker| worker.service == service).map(|worker| worker.name.clone()).collect();
