Believe a refusal without a length whose endpoint ends with it

What a refusal says does not depend on its body. unframed_refusal_of_an_endpoint_that_ends_is_believed: 502 before, 503 now.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -256,9 +256,10 @@
             // requests.
             return Ok(Err(format!("{MISMATCHED_RESPONSE}: {description}")));
         }
-        let ends_with_connection = exchange.ends_with_connection();
+        // What a refusal says does not depend on its body.
+        let may_be_cut = class == ResponseClass::Valid && exchange.ends_with_connection();
         let (head, body) = exchange.collect(MAX_RESPONSE_BYTES).await?;
-        if ends_with_connection && broken::ended_with_endpoint(pipeline, entry).await {
+        if may_be_cut && broken::ended_with_endpoint(pipeline, entry).await {
             return Err(Failure::Uncertain(broken::ENDPOINT_GONE.to_owned()));
         }
         Ok(Ok(classify(class, head, body, description)))
