--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -204,28 +204,25 @@
     if !starting.is_zero() {
         pipeline.registry.wait_until_serving(starting).await;
     }
-    let accepting = async {
-        let accepted = accept(&pipeline, request, origin, arrived).await;
-        accepted.and_then(|accepted| {
-            if stages.has_reached(Stage::Closing) {
-                Err(refuse_at_shutdown(&accepted.metadata))
-            } else {
-                Ok(accepted)
-            }
-        })
-    };
     let accepted = tokio::select! {
-        accepted = accepting => accepted,
+        accepted = accept(&pipeline, request, origin, arrived) => accepted,
         () = stages.wait_until(Stage::Ending) => Err(refuse_at_shutdown(&Metadata::default())),
     };
-    let accepted = match accepted {
-        Ok(accepted) => accepted,
-        Err(response) => {
-            observe::count_request(None, response.status());
-            return response;
+    let refusal = match accepted {
+        Ok(accepted) if stages.has_reached(Stage::Closing) => {
+            refuse_at_shutdown(&accepted.metadata)
         }
+        Ok(accepted) => return serve_until_exit(pipeline, accepted).await,
+        Err(refusal) => refusal,
     };
-    let kind = accepted.route.kind;
+    observe::count_request(None, refusal.status());
+    refusal
+}
+
+/// Serves a request, or ends it with a final response shortly before the process exits.
+async fn serve_until_exit(pipeline: Arc<Pipeline>, accepted: Accepted) -> Response<Body> {
+    let stages = Arc::clone(&pipeline.shutdown);
+    let (kind, origin) = (accepted.route.kind, accepted.origin);
     let id = accepted.id().to_owned();
     let mut attempts = Attempts::new(&accepted.route, accepted.loan());
     let served = tokio::select! {
