--- a/review/standins/src/bin/soak.rs
+++ b/review/standins/src/bin/soak.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{exit, Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
@@ -15,13 +15,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use review_standins::http::{read_body, read_head};
+use review_standins::caller::{exchange, KINDS};
 use review_standins::judge::{now, Attempt, Bounds, End, Judge, Millis, Step};
-use review_standins::node::{Node, CHARNWOOD, SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM};
+use review_standins::node::{Node, CHARNWOOD, SIGCONT, SIGHUP, SIGSTOP, SIGTERM};
 use review_standins::proxy::{self, Proxy};
 use review_standins::rng::Rng;
 use review_standins::store::{self, Store};
-use review_standins::worker::{entry, stream_event, unframed_body};
+use review_standins::worker::entry;
 
 const CONFIGURATION: &str = r#"{"version":1,"routes":[
 {"name":"look","host":"site.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"anonymousAccess":false},
@@ -32,29 +32,12 @@
 "services":[{"name":"desk","healthCheckPath":"/health","connectionLimit":100,"protocol":"h1","transportSecurity":false},
 {"name":"writer","healthCheckPath":"/health","connectionLimit":364,"protocol":"h1","transportSecurity":false,"engine":{"slots":16,"kvCacheTokens":450000,"kvTokenBytes":327680,"linkMbps":400000.0,"stride":46,"models":[{"name":"m"}],"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,"delays":[],"usual":{"prompt":13229,"answer":1541},"hopMs":0.1}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"club","apiKeys":["key-1"],"priority":1}]}"#;
-const EVENTS: usize = 12;
 /// Faults of workers, each with its largest share.
 const FAULTS: [(&str, f64); 13] = [
     ("unread", 0.3), ("idle", 0.6), ("unnamed", 0.3), ("full", 0.5), ("again", 0.5), ("hang", 0.1), ("slow", 0.3),
     ("lost", 0.4), ("failed", 0.3), ("unframed", 0.3), ("half", 0.3), ("head", 0.2), ("extra", 0.5),
 ];
 
-struct Kind {
-    path: &'static str,
-    service: &'static str,
-    repeatable: bool,
-    max_attempts: usize,
-    remaining: Millis,
-}
-
-const KINDS: [Kind; 5] = [
-    Kind { path: "look", service: "desk", repeatable: true, max_attempts: 2, remaining: 2_500 },
-    Kind { path: "peek", service: "desk", repeatable: true, max_attempts: 1, remaining: 2_500 },
-    Kind { path: "book", service: "desk", repeatable: false, max_attempts: 2, remaining: 2_500 },
-    Kind { path: "ask", service: "writer", repeatable: true, max_attempts: 3, remaining: 10_000 },
-    Kind { path: "tell", service: "writer", repeatable: false, max_attempts: 2, remaining: 10_000 },
-];
-
 /// Where a worker's connections arrive, by host and worker.
 type Links = Arc<Mutex<HashMap<(usize, String), Proxy>>>;
 
@@ -63,7 +46,6 @@
     service: &'static str,
     zone: &'static str,
     port: u16,
-    slots: u32,
     child: Child,
     input: ChildStdin,
     state: Arc<AtomicU8>,
@@ -254,7 +236,7 @@
         });
         self.line(&format!("worker {name} of {service} starts at {address}"));
         let input = child.stdin.take().expect("a pipe");
-        self.workers.lock().unwrap().push(Worker { name, service, zone, port: address.port(), slots, child, input, state });
+        self.workers.lock().unwrap().push(Worker { name, service, zone, port: address.port(), child, input, state });
     }
 
     /// Asks for readiness once a second; two misses take a host out of the rotation.
@@ -387,20 +369,20 @@
                 let service = if rng.chance(0.15) { *rng.pick(&["desk", "writer"]) } else { worker.service };
                 let port = if rng.chance(0.5) { worker.port } else { 0 };
                 let name = (service == worker.service && rng.chance(0.2)).then(|| worker.name.clone());
-                let _ = worker.slots;
                 self.start_worker(service, worker.zone, port, rng.next() >> 20, name);
             }
             "stop" => {
-                let Some(pid) = ({
+                let (name, pid) = {
                     let workers = self.workers.lock().unwrap();
-                    (!workers.is_empty()).then(|| rng.pick(&workers)).map(|worker| (worker.name.clone(), worker.child.id()))
-                }) else { return };
+                    let worker = rng.pick(&workers);
+                    (worker.name.clone(), worker.child.id())
+                };
                 let from = now();
-                self.line(&format!("stop worker {} for {time:?}", pid.0));
-                signal(pid.1, SIGSTOP);
+                self.line(&format!("stop worker {name} for {time:?}"));
+                signal(pid, SIGSTOP);
                 thread::sleep(time);
-                signal(pid.1, SIGCONT);
-                self.judge.lock().unwrap().worker_troubles.entry(pid.0).or_default().push((from, now()));
+                signal(pid, SIGCONT);
+                self.judge.lock().unwrap().worker_troubles.entry(name).or_default().push((from, now()));
             }
             "host" | "freeze" | "term" => {
                 let from = now();
@@ -510,63 +492,4 @@
         // SAFETY: a plain system call; the process is a child of this one.
         unsafe { kill(pid as i32, number) };
     }
-    let _ = SIGKILL;
-}
-
-/// Sends one request and reads its answer. Returns how it ended, and when to come back; `None` if the
-/// connection is closed.
-fn exchange(stream: &TcpStream, rng: &mut Rng, kind: &Kind, id: &str, left: Duration) -> (End, Option<Duration>) {
-    let broken = |error: &dyn std::fmt::Display| (End::Broken(error.to_string()), None);
-    let _ = stream.set_nodelay(true);
-    let leaves = rng.chance(0.02).then(|| Duration::from_millis(rng.range(1, 200)));
-    let _ = stream.set_read_timeout(Some(leaves.unwrap_or(left + Duration::from_millis(700))));
-    let _ = stream.set_write_timeout(Some(left));
-    let body = vec![b'x'; if rng.chance(0.1) { 60_000 } else { 60 }];
-    let stream_headers = if kind.service == "writer" { format!("X-Model: m\r\nX-Token-Counts: 5000,552\r\nX-Prompt-Prefix-Hash: 0a:40,{}:4960\r\n", id.replace('-', "")) } else { String::new() };
-    let head = format!(
-        "POST /{}/{id} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n{stream_headers}X-Remaining-Milliseconds: {}\r\nAuthorization: Bearer key-1\r\nContent-Length: {}\r\n\r\n",
-        kind.path,
-        left.as_millis(),
-        body.len()
-    );
-    let Ok(mut writer) = stream.try_clone() else { return broken(&"no descriptor") };
-    let whole = [head.as_bytes(), &body].concat();
-    let split = if rng.chance(0.1) { rng.range(1, whole.len() as u64 - 1) as usize } else { whole.len() };
-    let sent = writer.write_all(&whole[..split]).and_then(|()| {
-        if split < whole.len() {
-            thread::sleep(Duration::from_millis(rng.range(1, 300)));
-        }
-        writer.write_all(&whole[split..])
-    });
-    if let Err(error) = sent {
-        return broken(&error);
-    }
-    let Ok(reading) = stream.try_clone() else { return broken(&"no descriptor") };
-    let mut reader = BufReader::new(reading);
-    let read = read_head(&mut reader).and_then(|head| {
-        let mut message = head.ok_or(std::io::ErrorKind::UnexpectedEof)?;
-        read_body(&mut reader, &mut message)?;
-        Ok(message)
-    });
-    let message = match read {
-        Ok(message) => message,
-        Err(_) if leaves.is_some() => {
-            let _ = stream.shutdown(Shutdown::Both);
-            return (End::Left, None);
-        }
-        Err(error) => return broken(&error),
-    };
-    let status = message.status();
-    let expected = if kind.service == "writer" {
-        (1..=EVENTS).map(|number| stream_event(id, number)).collect::<String>().into_bytes()
-    } else {
-        unframed_body(id)
-    };
-    let closes = message.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
-    let wait = message.header("retry-after").and_then(|text| text.parse().ok()).unwrap_or(0.0);
-    let retry = (!closes && reader.buffer().is_empty()).then(|| Duration::from_secs_f64(wait));
-    if (200..300).contains(&status) && (message.body != expected || message.header("x-response-signature").is_none()) {
-        return (End::Wrong(status, String::from_utf8_lossy(&message.body[message.body.len().saturating_sub(80)..]).into_owned()), None);
-    }
-    (End::Status(status), retry)
 }
--- a/review/standins/src/bin/soak_worker.rs
+++ b/review/standins/src/bin/soak_worker.rs
@@ -13,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use review_standins::caller::EVENTS;
 use review_standins::http::{read_request, Message};
 use review_standins::rng::Rng;
 use review_standins::socket;
@@ -214,7 +215,6 @@
 
     /// Streams the events after `after`; returns whether the connection stays open.
     fn stream(&self, id: &str, signed: &str, after: usize, stream: &TcpStream, writer: &mut TcpStream) -> bool {
-        const EVENTS: usize = 12;
         let breaks = self.has("half").then(|| self.range(0, EVENTS as u64) as usize);
         let silent = self.has("silent").then(|| self.range(0, EVENTS as u64) as usize);
         let head = format!("HTTP/1.1 200 OK\r\n{signed}X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform's store, the workers and the clients, on loopback addresses and
 //! without dependencies. They follow `PROTOCOL.md`.
 
+pub mod caller;
 pub mod client;
 pub mod http;
 pub mod judge;
