--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -452,11 +452,9 @@
     }
 
     /// Returns the status of the response and the kind of its connection, for logs.
-    #[must_use]
-    pub fn describe(&self) -> String {
-        let status = self.head.status.as_u16();
+    pub(crate) fn describe(&self) -> String {
         let connection = if self.is_reused() { "kept" } else { "new" };
-        format!("{status} on a {connection} connection")
+        format!("{} on a {connection} connection", self.head.status.as_u16())
     }
 
     /// Whether the body has a length or comes in chunks. If not, it ends with the connection.
@@ -466,10 +464,8 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
-    /// Whether the end of the connection is the end of the body, and the body has not ended with the
-    /// head.
-    #[must_use]
-    pub fn ends_with_connection(&self) -> bool {
+    /// Whether the body lasts until the connection ends.
+    pub(crate) fn ends_with_connection(&self) -> bool {
         !self.is_framed() && !self.body.is_end_stream()
     }
 
