--- a/review/standins/src/bin/soak.rs
+++ b/review/standins/src/bin/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Arguments: the repository or work tree whose `target/release/filbertstage` is played, a folder for the
 //! record and the logs, the seed, the seconds. `SOAK_HOSTS`, `SOAK_CLIENTS` set how many there are, `SOAK_FAULTS`
-//! which kinds of faults come and `SOAK_WORKER_FAULTS` which of workers (all by default). Exits with 1 if a rule is broken.
+//! which kinds of faults come, `SOAK_WORKER_FAULTS` which of workers (all by default), and `SOAK_SCALE` by how many
+//! percent of its usual share each of these is scaled. Exits with 1 if a rule is broken.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
@@ -77,7 +78,6 @@
     let folder = PathBuf::from(&arguments[1]);
     let number = |index: usize| arguments[index].parse::<u64>().expect("a number");
     let (seed, seconds) = (number(2), number(3));
-    let setting = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
     let (host_count, clients) = (setting("SOAK_HOSTS", 4) as usize, setting("SOAK_CLIENTS", 32));
     let kinds = std::env::var("SOAK_FAULTS").unwrap_or_else(|_| "worker,kill,drain,stop,host,freeze,term,link,store".to_owned());
     fs::create_dir_all(&folder).expect("a folder");
@@ -108,6 +108,11 @@
     exit(code);
 }
 
+/// Returns the number in an environment variable, or the usual one.
+fn setting(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
 impl Soak {
     fn start(root: &std::path::Path, folder: &std::path::Path, host_count: usize) -> Self {
         let store = Store::start();
@@ -127,6 +132,7 @@
             })
             .collect();
         let chosen = std::env::var("SOAK_WORKER_FAULTS").unwrap_or_default();
+        let scale = setting("SOAK_SCALE", 100) as f64 / 100.0;
         let hosts = views.iter().enumerate().map(|(host, view)| {
             Mutex::new(Node::prepare(root, folder, &format!("edge-{host}"), &CHARNWOOD, CHARNWOOD.zones[host % 3], view.address))
         });
@@ -140,7 +146,11 @@
             rotation: Arc::new(hosts.iter().map(|_| AtomicBool::new(true)).collect()),
             hosts,
             workers: Mutex::default(),
-            faults: FAULTS.into_iter().filter(|(name, _)| chosen.is_empty() || chosen.split(',').any(|known| known == *name)).collect(),
+            faults: FAULTS
+                .into_iter()
+                .filter(|(name, _)| chosen.is_empty() || chosen.split(',').any(|known| known == *name))
+                .map(|(name, share)| (name, (share * scale).min(0.95)))
+                .collect(),
             numbers: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         }
