Log and count what retries draw from their budget

Three causes of too many retries look the same in the logs: hosts that keep to their own limits while the sum exceeds the common one, retries that draw on no budget, and retries that arrive long after they were drawn. event=retry has each draw with its time, outcome and share, and filbertstage_retries_total counts them.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -126,9 +126,10 @@
 
     /// Starts another attempt if it is allowed, and returns whether it may be sent.
     ///
-    /// Once an attempt was sent, each further one draws on the retry budget of `service`.
-    pub fn try_start(&mut self, budgets: &Budgets, service: &Service) -> bool {
-        if !self.allowed() || (self.sent > 0 && !budgets.withdraw(service)) {
+    /// Once an attempt was sent, each further one draws on the retry budget of `service`. The
+    /// identifier `request` is for logs.
+    pub fn try_start(&mut self, budgets: &Budgets, service: &Service, request: &str) -> bool {
+        if !self.allowed() || (self.sent > 0 && !budgets.withdraw(service, request)) {
             return false;
         }
         self.sent += 1;
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 
 use crate::clock::Clock;
+use crate::observe;
 use crate::settings::Retry;
 
 /// A retry budget for each service.
@@ -57,10 +58,16 @@
         self.update(service, |window| window.deposit(now));
     }
 
-    /// Withdraws one retry, or returns false when none is left.
-    pub fn withdraw(&self, service: &Service) -> bool {
+    /// Withdraws one retry for a request, or returns false when none is left.
+    pub fn withdraw(&self, service: &Service, request: &str) -> bool {
         let now = self.clock.now();
         let floor = self.fleet.lock().allowance(self.floor, now);
-        self.update(service, |window| window.withdraw(self.ratio, floor, now))
+        let allowed = self.update(service, |window| window.withdraw(self.ratio, floor, now));
+        let outcome = if allowed { "allowed" } else { "withheld" };
+        observe::count_retry(service, outcome);
+        log::info!(
+            "event=retry request={request} service={service} outcome={outcome} share={floor:.1}"
+        );
+        allowed
     }
 }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -167,7 +167,9 @@
             break;
         };
         let is_late = now + ANSWER_MARGIN >= accepted.deadline;
-        if is_late || (attempts.sent() > 0 && !pipeline.budgets.withdraw(&accepted.service)) {
+        if is_late
+            || (attempts.sent() > 0 && !pipeline.budgets.withdraw(&accepted.service, accepted.id()))
+        {
             break;
         }
         let loan = attempts.lend();
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use kernel::catalogue::Kind;
 use kernel::cost::Band;
-use kernel::name::Domain;
+use kernel::name::{Domain, Service};
 use kernel::place::path::Estimate;
 
 /// Counts a request whose response has the status `status`.
@@ -100,6 +100,14 @@
     metrics::counter!("filbertstage_interrupted_streams_total", "how" => how).increment(1);
 }
 
+/// Counts a retry by what the retry budget of its service made of it.
+pub(crate) fn count_retry(service: &Service, outcome: &'static str) {
+    metrics::counter!(
+        "filbertstage_retries_total", "service" => service.to_string(), "outcome" => outcome
+    )
+    .increment(1);
+}
+
 /// Counts a request for which no further attempt is made.
 pub(crate) fn count_given_up(reason: &'static str) {
     metrics::counter!("filbertstage_given_up_total", "reason" => reason).increment(1);
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -108,7 +108,7 @@
             Ok(entry) => entry,
             Err(give_up) => break give_up,
         };
-        if !attempts.try_start(&pipeline.budgets, &accepted.service) {
+        if !attempts.try_start(&pipeline.budgets, &accepted.service, accepted.id()) {
             break GiveUp::Exhausted;
         }
         accepted.log_repeat(&entry, attempts);
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -280,7 +280,10 @@
             // The next attempt is refused before it is placed.
             return Err(None);
         }
-        if !self.attempts.try_start(&pipeline.budgets, service) {
+        if !self
+            .attempts
+            .try_start(&pipeline.budgets, service, self.accepted.id())
+        {
             self.attempts.exhaust();
             return Err(None);
         }
