Divide the retry budget so that the parts of all hosts add up to its limit

Cause: the limit counts all retries of a window against the requests of all hosts in it. Each host kept a window of its own: a fifth of its own requests plus its share of the floor. Hosts that retry at different moments back their retries with requests of different windows, and clients that move on back retries at two hosts. No host exceeds its part, and the sum exceeds the limit.

Change: kernel::retry::Share. What first attempts earn is saved up to half of the host's share of the floor only; four tenths of the share may be used in each window, and a tenth is left for retries that arrive later. In any window all hosts make at most the ratio times the requests of that window, what they had saved when it began, and the floor's parts, however requests move. A new process has saved nothing, so it need not know what the one before it used.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -124,14 +124,19 @@
     ///
     /// A host whose lease had ended joins like a new one, because others may no longer count it.
     pub fn record_renewed(&mut self, sent_at: Instant, now: Instant) {
-        let holds_lease = self.renewed_at.is_some_and(|at| now.since(at) < LEASE);
-        if !holds_lease {
+        if !self.holds_lease(now) {
             self.announced_at = Some(now);
             self.started_together = self.starting_until.is_some_and(|until| now < until);
         }
         self.renewed_at = Some(sent_at);
     }
 
+    /// Whether this host has renewed its announcement in time, so that the others count it.
+    #[must_use]
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.renewed_at.is_some_and(|at| now.since(at) < LEASE)
+    }
+
     /// Whether this host's announcement must be written or renewed.
     #[must_use]
     pub fn renewal_due(&self, now: Instant) -> bool {
@@ -243,13 +248,12 @@
     #[must_use]
     pub fn sharers(&self, now: Instant) -> Option<u32> {
         let read_at = self.read_at.filter(|at| now.since(*at) < MAX_READ_AGE)?;
-        self.renewed_at.filter(|at| now.since(*at) < LEASE)?;
         let announced_at = self.announced_at.filter(|at| *at <= read_at)?;
         let joined = now.since(announced_at) >= MAX_READ_AGE + self.window;
         let knows_all = self.started_together
             && !self.store_restored
             && read_at.since(announced_at) >= STARTED_TOGETHER;
         let count = u32::try_from(self.counted(now).count() + 1).unwrap_or(u32::MAX);
-        (joined || knows_all).then_some(count)
+        (self.holds_lease(now) && (joined || knows_all)).then_some(count)
     }
 }
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::clock::Instant;
+use crate::fleet::{Fleet, STARTING_USES};
 
 /// Retries that each first attempt adds to a default budget.
 const BUDGET_RATIO: f64 = 0.2;
@@ -51,6 +52,12 @@
         }
     }
 
+    /// Sets the maximum number of retries in the budget.
+    pub const fn set_max(&mut self, max_retries: f64) {
+        self.max_retries = max_retries;
+        self.retries = self.retries.min(max_retries);
+    }
+
     /// Adds the fraction of a retry that a first attempt earns.
     pub fn deposit(&mut self) {
         self.retries = (self.retries + self.ratio).min(self.max_retries);
@@ -69,16 +76,14 @@
 /// Number of slices into which a [`Window`] divides its length.
 const SLICES: u64 = 10;
 
-/// Requests and retries in one slice of a window.
+/// Uses in one slice of a window.
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     number: u64,
-    requests: u32,
-    retries: u32,
+    uses: u32,
 }
 
-/// Limits the retries in a sliding window to a fraction of the first attempts in it plus a fixed
-/// number.
+/// Limits the uses of something in a sliding window.
 #[derive(Clone, Debug)]
 pub struct Window {
     slice: Duration,
@@ -102,49 +107,108 @@
         now.as_micros() / micros
     }
 
-    /// Returns the current slice, after removing those that have left the window.
-    fn current(&mut self, now: Instant) -> &mut Slice {
+    /// Counts a use if the window has at most `limit` uses, this one included; returns whether it
+    /// does.
+    ///
+    /// A slice that overlaps the window only partly counts as a whole.
+    pub fn withdraw(&mut self, limit: f64, now: Instant) -> bool {
         let number = self.number(now);
         while let Some(oldest) = self.slices.front()
             && oldest.number + SLICES < number
         {
             self.slices.pop_front();
         }
-        if self.slices.back().is_none_or(|last| last.number < number) {
-            self.slices.push_back(Slice {
-                number,
-                requests: 0,
-                retries: 0,
-            });
+        let uses: u32 = self.slices.iter().map(|slice| slice.uses).sum();
+        if f64::from(uses) + 1.0 > limit {
+            return false;
         }
-        let last = self.slices.len() - 1;
-        &mut self.slices[last]
+        match self.slices.back_mut() {
+            Some(last) if last.number >= number => last.uses += 1,
+            _ => self.slices.push_back(Slice { number, uses: 1 }),
+        }
+        true
     }
+}
 
-    /// Counts a first attempt.
-    pub fn deposit(&mut self, now: Instant) {
-        let current = self.current(now);
-        current.requests = current.requests.saturating_add(1);
-    }
+/// Part of a host's share of the floor that is left for retries which arrive in a later window than
+/// they are counted in.
+const LATE_PART: f64 = 0.1;
+/// Part of a host's share of the floor up to which it saves what first attempts earn.
+const SAVED_PART: f64 = 0.5;
+
+/// How one host divides its share of a budget's floor.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Division {
+    /// Maximum number of retries that the host saves of those that first attempts earn.
+    pub saved: f64,
+    /// Retries that it may make within each window in addition.
+    pub floor: f64,
+}
 
-    /// Counts a retry if the window has at most `ratio` retries for each first attempt plus
-    /// `floor`, this one included; returns whether it may be sent.
+impl Division {
+    /// Divides the share of a host that counts the other hosts with `fleet`, of a floor of `limit`
+    /// retries for all hosts.
     ///
-    /// A slice that overlaps the window only partly counts as a whole for the retries, and not at
-    /// all for the first attempts.
-    pub fn withdraw(&mut self, ratio: f64, floor: f64, now: Instant) -> bool {
-        let number = self.current(now).number;
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let whole = self
-            .slices
-            .iter()
-            .filter(|slice| slice.number + SLICES > number);
-        let requests: u32 = whole.map(|slice| slice.requests).sum();
-        if f64::from(retries) + 1.0 > f64::from(requests) * ratio + floor {
-            return false;
+    /// A host without a share makes no retries beyond those that it earns, but for those of a fleet's
+    /// first start. While it is announced it may save as many as with a share: either the process
+    /// before it has left that share unused since, or the other hosts' shares leave room for new hosts.
+    #[must_use]
+    pub fn new(fleet: &Fleet, limit: f64, now: Instant) -> Self {
+        let allowance = fleet.allowance(limit, now);
+        let has_share = fleet.sharers(now).is_some();
+        let share = if has_share {
+            allowance
+        } else {
+            let announced = fleet.size(now).filter(|_| fleet.holds_lease(now));
+            announced.map_or(0.0, |hosts| limit / f64::from(hosts) - STARTING_USES)
+        };
+        let saved = (share * SAVED_PART).max(STARTING_USES);
+        let floor = if has_share {
+            (share * (1.0 - LATE_PART) - saved).max(0.0)
+        } else {
+            allowance
+        };
+        Self { saved, floor }
+    }
+}
+
+/// One host's part of a retry budget that is limited for all hosts together, by the first attempts of
+/// all hosts in the same window and a floor.
+///
+/// The parts add up to the limit however requests move between hosts, and whenever each host retries.
+/// First attempts earn retries that are used soon: what a host saves of them is a part of its share
+/// of the floor, since in the window in which it uses them, other hosts may use all that is earned.
+#[derive(Debug)]
+pub struct Share {
+    earned: Budget,
+    floor: Window,
+}
+
+impl Share {
+    /// Creates the part of a host that has just started, in a budget of `ratio` retries for each
+    /// first attempt. It has nothing saved: the process before it may have used it.
+    #[must_use]
+    pub fn new(ratio: f64, window: Duration) -> Self {
+        Self {
+            earned: Budget {
+                retries: 0.0,
+                ratio,
+                max_retries: 0.0,
+            },
+            floor: Window::new(window),
         }
-        self.current(now).retries += 1;
-        true
+    }
+
+    /// Adds the fraction of a retry that a first attempt earns.
+    pub fn deposit(&mut self, division: Division) {
+        self.earned.set_max(division.saved);
+        self.earned.deposit();
+    }
+
+    /// Takes one retry; returns false if none is left.
+    pub fn withdraw(&mut self, division: Division, now: Instant) -> bool {
+        self.earned.set_max(division.saved);
+        self.earned.withdraw() || self.floor.withdraw(division.floor, now)
     }
 }
 
--- a/crates/kernel/tests/fleet.rs
+++ b/crates/kernel/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use filbertstage_kernel::fleet::{Announcement, Fleet, LEASE, READ_INTERVAL, STARTING_USES, Start};
 use filbertstage_kernel::prelude::*;
-use filbertstage_kernel::retry::Window;
+use filbertstage_kernel::retry::{Division, Share, Window};
 use proptest::prelude::*;
 
 const HOSTS: usize = 3;
@@ -302,40 +302,42 @@
         }
     }
 
-    /// In no window are there more retries than the ratio and the floor allow.
+    /// In no window does a host make more retries than the ratio of the requests in it and its share of
+    /// the floor allow.
     #[test]
     fn a_window_allows_no_more_retries_than_its_limit(
         steps in proptest::collection::vec((0..900_u64, any::<bool>()), 1..400)
     ) {
         const RATIO: f64 = 0.2;
-        const FLOOR: f64 = 3.0;
-        let mut window = Window::new(WINDOW);
+        const DIVISION: Division = Division { saved: 1.0, floor: 2.0 };
+        let mut budget = Share::new(RATIO, WINDOW);
         let mut now = Instant::from_millis(1_000_000);
         let mut requests = Vec::new();
         let mut retries: Vec<Instant> = Vec::new();
         for (millis, retry) in steps {
             now = now + Duration::from_millis(millis);
             if !retry {
-                window.deposit(now);
+                budget.deposit(DIVISION);
                 requests.push(now);
-            } else if window.withdraw(RATIO, FLOOR, now) {
+            } else if budget.withdraw(DIVISION, now) {
                 retries.push(now);
                 let recent = |times: &[Instant]| {
                     times.iter().filter(|at| now.since(**at) < WINDOW).count()
                 };
                 let allowed = f64::from(u32::try_from(recent(&requests)).expect("few")) * RATIO;
                 let made = f64::from(u32::try_from(recent(&retries)).expect("few"));
-                prop_assert!(made <= allowed + FLOOR, "{made} retries, {allowed} + {FLOOR}");
+                let floor = DIVISION.saved + DIVISION.floor;
+                prop_assert!(made <= allowed + floor, "{made} retries, {allowed} + {floor}");
             }
         }
     }
 }
 
 #[test]
-fn retries_are_allowed_again_when_earlier_ones_leave_the_window() {
+fn uses_are_allowed_again_when_earlier_ones_leave_the_window() {
     let mut window = Window::new(WINDOW);
     let start = Instant::from_millis(1_000_000);
-    assert!(window.withdraw(0.2, 1.0, start));
-    assert!(!window.withdraw(0.2, 1.0, start + Duration::from_secs(9)));
-    assert!(window.withdraw(0.2, 1.0, start + Duration::from_secs(12)));
+    assert!(window.withdraw(1.0, start));
+    assert!(!window.withdraw(1.0, start + Duration::from_secs(9)));
+    assert!(window.withdraw(1.0, start + Duration::from_secs(12)));
 }
--- a/crates/kernel/tests/retry_fleet.rs
+++ b/crates/kernel/tests/retry_fleet.rs
@@ -7,12 +7,12 @@
 
 use filbertstage_kernel::fleet::{Announcement, Fleet, READ_INTERVAL, Start};
 use filbertstage_kernel::prelude::*;
-use filbertstage_kernel::retry::Window;
+use filbertstage_kernel::retry::{Division, Share};
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-const HOSTS: usize = 6;
 const RATIO: f64 = 0.2;
 const FLOOR: f64 = 100.0;
 const WINDOW: Duration = Duration::from_secs(10);
@@ -20,6 +20,8 @@
 /// Ticks in [`WINDOW`].
 const WINDOW_TICKS: usize = 100;
 const TICKS: usize = 1_200;
+/// Ticks after which a retry arrives at the latest: those in which a connection may be opened.
+const MAX_LATE_TICKS: usize = 4;
 
 /// What happens to hosts while most requests fail.
 #[derive(Clone, Copy, Debug)]
@@ -34,18 +36,24 @@
     Herd,
     /// The requests of a host stop, and come back later.
     Rotation,
+    /// Hosts are replaced by others with new names.
+    Replacements,
+    /// Hosts lose their path to the store, and get it back.
+    StoreCuts,
 }
 
 struct Machine {
     name: Host,
     incarnation: u64,
     fleet: Fleet,
-    budget: Window,
+    budget: Share,
     read_at: Option<Instant>,
     /// Tick at which the host runs again.
     down_until: usize,
     /// Tick until which clients avoid the host.
     avoided_until: usize,
+    /// Tick until which the host does not reach the store.
+    cut_until: usize,
 }
 
 struct Simulation {
@@ -53,13 +61,13 @@
     store: BTreeMap<Host, Announcement>,
     random: SmallRng,
     now: Instant,
-    /// Requests and retries of all hosts, by tick.
+    /// Requests of all hosts and arrivals of their retries, by tick.
     requests: Vec<u32>,
     retries: Vec<u32>,
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(hosts: usize, seed: u64) -> Self {
         let now = Instant::from_millis(1_000_000);
         let machine = |index: usize| {
             let name = Host::from(format!("edge-{index}"));
@@ -67,19 +75,20 @@
                 fleet: Fleet::new(name.clone(), 1, WINDOW, Start::First, now),
                 name,
                 incarnation: 1,
-                budget: Window::new(WINDOW),
+                budget: Share::new(RATIO, WINDOW),
                 read_at: None,
                 down_until: 0,
                 avoided_until: 0,
+                cut_until: 0,
             }
         };
         Self {
-            machines: (0..HOSTS).map(machine).collect(),
+            machines: (0..hosts).map(machine).collect(),
             store: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
             now,
             requests: Vec::new(),
-            retries: Vec::new(),
+            retries: vec![0; TICKS + MAX_LATE_TICKS],
         }
     }
 
@@ -89,22 +98,31 @@
         machine.incarnation += 1;
         let name = machine.name.clone();
         machine.fleet = Fleet::new(name, machine.incarnation, WINDOW, Start::Later, now);
-        machine.budget = Window::new(WINDOW);
+        machine.budget = Share::new(RATIO, WINDOW);
         machine.read_at = None;
         machine.down_until = tick + ticks;
     }
 
     fn inject(&mut self, trouble: Trouble) {
-        let tick = self.requests.len();
-        let index = self.random.random_range(0..HOSTS);
+        let (tick, hosts) = (self.requests.len(), self.machines.len());
+        let index = self.random.random_range(0..hosts);
         let ticks = self.random.random_range(5..40);
         match trouble {
             Trouble::Kills if self.random.random_bool(0.03) => self.restart(index, ticks),
             Trouble::Herd if tick % 150 == 149 => {
-                for index in 0..HOSTS * 2 / 3 {
+                for index in 0..hosts * 2 / 3 {
                     self.restart(index, ticks);
                 }
             }
+            Trouble::Replacements if tick % 200 == 199 => {
+                for index in 0..hosts / 2 {
+                    self.machines[index].name = Host::from(format!("edge-{index}-{tick}"));
+                    self.restart(index, 1);
+                }
+            }
+            Trouble::StoreCuts if self.random.random_bool(0.01) => {
+                self.machines[index].cut_until = tick + ticks * 20;
+            }
             Trouble::Rotation if self.random.random_bool(0.05) => {
                 self.machines[index].avoided_until = tick + ticks * 2;
             }
@@ -114,12 +132,12 @@
 
     /// The hosts that take requests.
     fn serving(&self, trouble: Trouble) -> Vec<usize> {
-        let tick = self.requests.len();
+        let (tick, hosts) = (self.requests.len(), self.machines.len());
         if matches!(trouble, Trouble::Moves) {
-            return vec![tick / 70 % HOSTS];
+            return vec![tick / 70 % hosts];
         }
         let runs = |index: &usize| self.machines[*index].down_until <= tick;
-        let running: Vec<_> = (0..HOSTS).filter(runs).collect();
+        let running: Vec<_> = (0..hosts).filter(runs).collect();
         let rotation = |index: &usize| self.machines[*index].avoided_until <= tick;
         let chosen: Vec<_> = running.iter().copied().filter(rotation).collect();
         if chosen.is_empty() { running } else { chosen }
@@ -131,7 +149,7 @@
             let due = machine
                 .read_at
                 .is_none_or(|at| now.since(at) >= READ_INTERVAL);
-            if machine.down_until > tick || !due {
+            if machine.down_until > tick || machine.cut_until > tick || !due {
                 continue;
             }
             if machine.fleet.renewal_due(now) {
@@ -150,23 +168,22 @@
         self.inject(trouble);
         self.follow_store();
         let serving = self.serving(trouble);
-        let (mut requests, mut retries) = (0, 0);
+        let tick = self.requests.len();
+        let mut requests = 0;
         for _ in 0..rate {
             requests += 1;
-            let Some(index) =
-                serving.get(self.random.random_range(0..HOSTS) % serving.len().max(1))
-            else {
+            let Some(index) = serving.choose(&mut self.random) else {
                 continue;
             };
             let machine = &mut self.machines[*index];
-            machine.budget.deposit(self.now);
-            let floor = machine.fleet.allowance(FLOOR, self.now);
-            if self.random.random_bool(failing) && machine.budget.withdraw(RATIO, floor, self.now) {
-                retries += 1;
+            let division = Division::new(&machine.fleet, FLOOR, self.now);
+            machine.budget.deposit(division);
+            if self.random.random_bool(failing) && machine.budget.withdraw(division, self.now) {
+                let late = self.random.random_range(0..=MAX_LATE_TICKS);
+                self.retries[tick + late] += 1;
             }
         }
         self.requests.push(requests);
-        self.retries.push(retries);
         self.now = self.now + TICK;
     }
 
@@ -195,11 +212,16 @@
 #[case::kills(Trouble::Kills)]
 #[case::herd_kills(Trouble::Herd)]
 #[case::rotation(Trouble::Rotation)]
-fn retries_of_all_hosts_stay_within_the_limit(#[case] trouble: Trouble) {
+#[case::replacements(Trouble::Replacements)]
+#[case::store_cuts(Trouble::StoreCuts)]
+fn retries_of_all_hosts_stay_within_the_limit(
+    #[case] trouble: Trouble,
+    #[values(4, 6)] hosts: usize,
+) {
     let (mut worst, mut found) = (0.0, (0, 0.0, 0));
     let plays = (0..20).flat_map(|seed| [0.25, 0.6, 0.95].map(|failing| (seed, failing)));
     for (seed, failing) in plays {
-        let mut simulation = Simulation::new(seed);
+        let mut simulation = Simulation::new(hosts, seed);
         let mut rates = VecDeque::from([40, 40, 15, 60, 25]);
         for tick in 0..TICKS {
             if tick % 80 == 0 {
