Withdraw a retry when it is sent, and return it if it is not

What was drawn also counted up to 400 ms before it arrived, so that arrivals of one window were drawn in another.

Relay::budget::Draw is prepared with the attempt, withdrawn by the check that runs once there is a connection, and refunded if nothing was sent or another host refused the request without any arrival. Requests that find the last retry together send as many as are left.

--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -71,6 +71,11 @@
         self.retries -= 1.0;
         true
     }
+
+    /// Returns one retry to the budget, up to its maximum.
+    pub const fn refund(&mut self) {
+        self.retries = (self.retries + 1.0).min(self.max_retries);
+    }
 }
 
 /// Number of slices into which a [`Window`] divides its length.
@@ -107,21 +112,31 @@
         now.as_micros() / micros
     }
 
-    /// Counts a use if the window has at most `limit` uses, this one included; returns whether it
-    /// does.
+    /// Returns whether the window has room for one more use within `limit`.
     ///
     /// A slice that overlaps the window only partly counts as a whole.
+    #[must_use]
+    pub fn has_room(&self, limit: f64, now: Instant) -> bool {
+        let number = self.number(now);
+        let recent = self
+            .slices
+            .iter()
+            .filter(|slice| slice.number + SLICES >= number);
+        let uses: u32 = recent.map(|slice| slice.uses).sum();
+        f64::from(uses) + 1.0 <= limit
+    }
+
+    /// Counts a use if there is room for it within `limit`; returns whether there is.
     pub fn withdraw(&mut self, limit: f64, now: Instant) -> bool {
+        if !self.has_room(limit, now) {
+            return false;
+        }
         let number = self.number(now);
         while let Some(oldest) = self.slices.front()
             && oldest.number + SLICES < number
         {
             self.slices.pop_front();
         }
-        let uses: u32 = self.slices.iter().map(|slice| slice.uses).sum();
-        if f64::from(uses) + 1.0 > limit {
-            return false;
-        }
         match self.slices.back_mut() {
             Some(last) if last.number >= number => last.uses += 1,
             _ => self.slices.push_back(Slice { number, uses: 1 }),
@@ -205,6 +220,17 @@
         self.earned.deposit();
     }
 
+    /// Whether there is a retry to take.
+    pub fn has_left(&mut self, division: Division, now: Instant) -> bool {
+        self.earned.set_max(division.saved);
+        self.earned.retries >= 1.0 || self.floor.has_room(division.floor, now)
+    }
+
+    /// Returns a retry that was taken and not sent. It is saved, as far as there is room.
+    pub const fn refund(&mut self) {
+        self.earned.refund();
+    }
+
     /// Takes one retry; returns false if none is left.
     pub fn withdraw(&mut self, division: Division, now: Instant) -> bool {
         self.earned.set_max(division.saved);
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -8,7 +8,7 @@
 use kernel::name::Service;
 
 use crate::body::Body;
-use crate::budget::Budgets;
+use crate::budget::{Budgets, Draw};
 use crate::headers::error_response;
 use crate::shutdown;
 
@@ -124,16 +124,37 @@
         self.repeatable && self.account.allows_repeat()
     }
 
-    /// Starts another attempt if it is allowed, and returns whether it may be sent.
+    /// Starts another attempt if it is allowed; returns what its send draws on the retry budget of
+    /// `service`.
     ///
-    /// Once an attempt was sent, each further one draws on the retry budget of `service`. The
-    /// identifier `request` is for logs.
-    pub fn try_start(&mut self, budgets: &Budgets, service: &Service, request: &str) -> bool {
-        if !self.allowed() || (self.sent > 0 && !budgets.withdraw(service, request)) {
-            return false;
+    /// Once an attempt was sent, each further one is a retry. The identifier `request` is for logs.
+    pub fn try_start<'a>(
+        &mut self,
+        budgets: &'a Budgets,
+        service: &'a Service,
+        request: &'a str,
+    ) -> Option<Draw<'a>> {
+        if !self.allowed() {
+            return None;
         }
+        let draw = self.prepare_send(budgets, service, request)?;
         self.sent += 1;
-        true
+        Some(draw)
+    }
+
+    /// Returns what the next send, by this host or by another one, draws on the retry budget; `None`
+    /// if nothing is left of it.
+    #[must_use]
+    pub fn prepare_send<'a>(
+        &self,
+        budgets: &'a Budgets,
+        service: &'a Service,
+        request: &'a str,
+    ) -> Option<Draw<'a>> {
+        if self.sent == 0 {
+            return Some(budgets.free(service, request));
+        }
+        budgets.prepare(service, request)
     }
 
     /// Records that the endpoint did not run the request, and excludes it.
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use kernel::clock::Instant;
@@ -64,18 +65,92 @@
         self.update(service, |budget| budget.deposit(division));
     }
 
-    /// Withdraws one retry for a request, or returns false when none is left.
-    pub fn withdraw(&self, service: &Service, request: &str) -> bool {
+    /// Returns the retry of a request, to be withdrawn when it is sent; `None` if none is left.
+    ///
+    /// The identifier `request` is for logs.
+    #[must_use]
+    pub fn prepare<'a>(&'a self, service: &'a Service, request: &'a str) -> Option<Draw<'a>> {
         let now = self.clock.now();
         let division = self.division(now);
-        let allowed = self.update(service, |budget| budget.withdraw(division, now));
-        let outcome = if allowed { "allowed" } else { "withheld" };
-        observe::count_retry(service, outcome);
+        let draw = Draw {
+            budgets: self,
+            service,
+            request,
+            state: AtomicU8::new(PREPARED),
+        };
+        if !self.update(service, |budget| budget.has_left(division, now)) {
+            draw.log("withheld", division);
+            return None;
+        }
+        Some(draw)
+    }
+
+    /// Returns what the first send of a request withdraws: nothing.
+    #[must_use]
+    pub const fn free<'a>(&'a self, service: &'a Service, request: &'a str) -> Draw<'a> {
+        Draw {
+            budgets: self,
+            service,
+            request,
+            state: AtomicU8::new(FREE),
+        }
+    }
+}
+
+/// Nothing is withdrawn yet.
+const PREPARED: u8 = 0;
+/// One retry is withdrawn.
+const WITHDRAWN: u8 = 1;
+/// The send is no retry.
+const FREE: u8 = 2;
+
+/// What one send draws on the retry budget of its service.
+///
+/// It is withdrawn when the send has a connection: opening one takes a while and may fail, and retries
+/// count when they arrive.
+#[derive(Debug)]
+pub struct Draw<'a> {
+    budgets: &'a Budgets,
+    service: &'a Service,
+    request: &'a str,
+    state: AtomicU8,
+}
+
+impl Draw<'_> {
+    /// Withdraws the retry unless that has been done; returns whether it may be sent.
+    pub fn take(&self) -> bool {
+        if self.state.load(Ordering::Relaxed) != PREPARED {
+            return true;
+        }
+        let now = self.budgets.clock.now();
+        let division = self.budgets.division(now);
+        let allowed = self
+            .budgets
+            .update(self.service, |budget| budget.withdraw(division, now));
+        if allowed {
+            self.state.store(WITHDRAWN, Ordering::Relaxed);
+        }
+        self.log(if allowed { "allowed" } else { "withheld" }, division);
+        allowed
+    }
+
+    /// Returns the retry to the budget if it was withdrawn, because nothing was sent.
+    pub fn refund(&self) {
+        if self.state.load(Ordering::Relaxed) == WITHDRAWN {
+            self.state.store(PREPARED, Ordering::Relaxed);
+            self.budgets.update(self.service, Share::refund);
+            observe::count_retry(self.service, "refunded");
+        }
+    }
+
+    fn log(&self, outcome: &'static str, division: Division) {
+        observe::count_retry(self.service, outcome);
         log::info!(
-            "event=retry request={request} service={service} outcome={outcome} saved={:.1} floor={:.1}",
+            "event=retry request={} service={} outcome={outcome} saved={:.1} floor={:.1}",
+            self.request,
+            self.service,
             division.saved,
             division.floor
         );
-        allowed
     }
 }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -22,6 +22,7 @@
 use crate::adapter::ResponseClass;
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::{Body, Error};
+use crate::budget::Draw;
 use crate::headers::{Format, end_to_end, error_response};
 use crate::link::Links;
 use crate::loan;
@@ -166,12 +167,13 @@
         let Some(helper) = pipeline.links.pick(candidates, wanted) else {
             break;
         };
-        let is_late = now + ANSWER_MARGIN >= accepted.deadline;
-        if is_late
-            || (attempts.sent() > 0 && !pipeline.budgets.withdraw(&accepted.service, accepted.id()))
-        {
+        if now + ANSWER_MARGIN >= accepted.deadline {
             break;
         }
+        let (budgets, service) = (&pipeline.budgets, &accepted.service);
+        let Some(draw) = attempts.prepare_send(budgets, service, accepted.id()) else {
+            break;
+        };
         let loan = attempts.lend();
         let outcome = send(
             pipeline,
@@ -180,6 +182,7 @@
             &helper.host,
             *resume_after,
             loan,
+            &draw,
         )
         .await;
         let (name, reason) = match outcome {
@@ -190,7 +193,11 @@
             }
             Outcome::Refused(response, report) => {
                 // A refusal states that the request has not run.
-                attempts.settle(loan, Some(report.unwrap_or_default()));
+                let report = report.unwrap_or_default();
+                if report.arrivals() == 0 {
+                    draw.refund();
+                }
+                attempts.settle(loan, Some(report));
                 asked.push(helper.host.clone());
                 refusal = Some(response);
                 ("refused", String::new())
@@ -208,6 +215,7 @@
                 return Asked::Response(response);
             }
             Outcome::Unsent(reason) => {
+                draw.refund();
                 attempts.settle(loan, Some(Report::default()));
                 asked.push(helper.host.clone());
                 pipeline.record_peer_failure(&helper.host);
@@ -263,6 +271,7 @@
     host: &Host,
     resume_after: Option<&str>,
     loan: Loan,
+    draw: &Draw<'_>,
 ) -> Outcome {
     let Some(address) = pipeline.hosts.address(host) else {
         return Outcome::Unsent("the host is gone".to_owned());
@@ -275,7 +284,9 @@
     };
     let is_sent = AtomicBool::new(false);
     let exchange = async {
-        let sending = pipeline.dialer.send_if(address, request, &is_sent, || true);
+        let sending = pipeline
+            .dialer
+            .send_if(address, request, &is_sent, || draw.take());
         let mut exchange = sending.await?;
         let report = loan::take_report(&mut exchange.head.headers);
         let id = accepted.metadata.id.as_deref();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod body;
 mod broken;
 pub mod budget;
-mod clock;
+pub mod clock;
 mod cold;
 mod detour;
 mod evacuation;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -16,6 +16,7 @@
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::Body;
 use crate::broken;
+use crate::budget::Draw;
 use crate::headers::end_to_end;
 use crate::observe;
 use crate::pipeline::Pipeline;
@@ -108,13 +109,21 @@
             Ok(entry) => entry,
             Err(give_up) => break give_up,
         };
-        if !attempts.try_start(&pipeline.budgets, &accepted.service, accepted.id()) {
+        let started = attempts.try_start(&pipeline.budgets, &accepted.service, accepted.id());
+        let Some(draw) = started else {
             break GiveUp::Exhausted;
-        }
+        };
         accepted.log_repeat(&entry, attempts);
         let endpoint = entry.identity();
         let began = pipeline.clock.now();
-        let outcome = send(pipeline, accepted, &entry, attempts.allowed_after_run()).await;
+        let outcome = send(
+            pipeline,
+            accepted,
+            &entry,
+            &draw,
+            attempts.allowed_after_run(),
+        )
+        .await;
         record_outcome(pipeline, accepted, &entry, &outcome);
         match outcome {
             Outcome::Response(head, body) => {
@@ -128,7 +137,10 @@
                 last_failure = Some((head, body));
             }
             Outcome::NotRun(_) => attempts.record_rejected(endpoint),
-            Outcome::Unsent(..) | Outcome::Withheld => attempts.record_unsent(endpoint),
+            Outcome::Unsent(..) | Outcome::Withheld => {
+                draw.refund();
+                attempts.record_unsent(endpoint);
+            }
             Outcome::Broken(_) => {
                 attempts.record_run(endpoint);
                 if has_crashed(pipeline, accepted, &entry, began).await {
@@ -211,6 +223,7 @@
     pipeline: &Pipeline,
     accepted: &Accepted,
     entry: &Entry,
+    draw: &Draw<'_>,
     retry_allowed: bool,
 ) -> Outcome {
     let _active_call = ActiveCall::start(pipeline, entry.identity());
@@ -237,7 +250,7 @@
         let sending = pipeline
             .dialer
             .send_if(entry.address, request, &is_sent, || {
-                !pipeline.registry.is_withheld(entry.identity())
+                !pipeline.registry.is_withheld(entry.identity()) && draw.take()
             });
         let exchange = sending.await?;
         pipeline.paths.record_exchange(&entry.domain, &exchange);
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -280,13 +280,11 @@
             // The next attempt is refused before it is placed.
             return Err(None);
         }
-        if !self
-            .attempts
-            .try_start(&pipeline.budgets, service, self.accepted.id())
-        {
+        let id = self.accepted.id().to_owned();
+        let Some(draw) = self.attempts.try_start(&pipeline.budgets, service, &id) else {
             self.attempts.exhaust();
             return Err(None);
-        }
+        };
         let sent_at = pipeline.clock.now();
         let remaining = self.accepted.deadline.since(sent_at);
         self.log_placed(&engine, &placement);
@@ -317,8 +315,17 @@
                 !used
                     .iter()
                     .any(|engine| pipeline.registry.is_withheld(*engine))
+                    && draw.take()
             });
         let sent = timeout(limit, sending).await;
+        let is_unsent = match &sent {
+            Ok(Ok(_) | Err(Failure::Uncertain(_))) => false,
+            Ok(Err(_)) => true,
+            Err(_) => !is_sent.load(Ordering::Relaxed),
+        };
+        if is_unsent {
+            draw.refund();
+        }
         match sent {
             Ok(Ok(exchange)) => {
                 self.pipeline
@@ -333,7 +340,7 @@
                 self.handle_failure(&engine, &used, failure, sent_at).await;
                 Err(None)
             }
-            Err(_) if !is_sent.load(Ordering::Relaxed) => {
+            Err(_) if is_unsent => {
                 self.record_unsent(&engine, Observation::Unresponsive, NO_CONNECTION);
                 Err(None)
             }
