--- a/review/standins/src/bin/soak/main.rs
+++ b/review/standins/src/bin/soak/main.rs
@@ -3,7 +3,10 @@
 //! Arguments: the repository or work tree whose `target/release/filbertstage` is played, a folder for the
 //! record and the logs, the seed, the seconds. `SOAK_HOSTS`, `SOAK_CLIENTS` set how many there are, `SOAK_FAULTS`
 //! which kinds of faults come, `SOAK_WORKER_FAULTS` which of workers (all by default), and `SOAK_SCALE` by how many
-//! percent of its usual share each of these is scaled. Exits with 1 if a rule is broken.
+//! percent of its usual share each of these is scaled. `SOAK_OTHER_ROOT` is a work tree whose program every second host
+//! runs, and `SOAK_ARCHIVE=1` takes the settings of sma-qro. Exits with 1 if a rule is broken.
+
+mod trouble;
 
 use std::collections::HashMap;
 use std::fs::{self, File};
@@ -12,33 +15,20 @@
 use std::path::PathBuf;
 use std::process::{exit, Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use review_standins::caller::{exchange, KINDS};
 use review_standins::judge::{now, Attempt, Bounds, End, Judge, Millis, Step};
-use review_standins::node::{Node, CHARNWOOD, SIGCONT, SIGHUP, SIGSTOP, SIGTERM};
+use review_standins::node::{Node, Site, CHARNWOOD, SMA};
+use review_standins::peers::Peers;
+use review_standins::plan::{setting, CONFIGURATION, FAULTS};
 use review_standins::proxy::{self, Proxy};
 use review_standins::rng::Rng;
-use review_standins::store::{self, Store};
+use review_standins::store::Store;
 use review_standins::worker::entry;
 
-const CONFIGURATION: &str = r#"{"version":1,"routes":[
-{"name":"look","host":"site.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"anonymousAccess":false},
-{"name":"peek","host":"site.example","pathPrefix":"/peek/","kind":"idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"anonymousAccess":false},
-{"name":"book","host":"site.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"anonymousAccess":false},
-{"name":"ask","host":"site.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":300,"gapTargetMs":200,"priority":1,"service":"writer","maxAttempts":3,"anonymousAccess":false,"sessionAffinity":true,"streamResumption":true},
-{"name":"tell","host":"site.example","pathPrefix":"/tell/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":300,"gapTargetMs":200,"priority":1,"service":"writer","maxAttempts":2,"anonymousAccess":false,"sessionAffinity":true,"streamResumption":false}],
-"services":[{"name":"desk","healthCheckPath":"/health","connectionLimit":100,"protocol":"h1","transportSecurity":false},
-{"name":"writer","healthCheckPath":"/health","connectionLimit":364,"protocol":"h1","transportSecurity":false,"engine":{"slots":16,"kvCacheTokens":450000,"kvTokenBytes":327680,"linkMbps":400000.0,"stride":46,"models":[{"name":"m"}],"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,"delays":[],"usual":{"prompt":13229,"answer":1541},"hopMs":0.1}}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"club","apiKeys":["key-1"],"priority":1}]}"#;
-/// Faults of workers, each with its largest share.
-const FAULTS: [(&str, f64); 13] = [
-    ("unread", 0.3), ("idle", 0.6), ("unnamed", 0.3), ("full", 0.5), ("again", 0.5), ("hang", 0.1), ("slow", 0.3),
-    ("lost", 0.4), ("failed", 0.3), ("unframed", 0.3), ("half", 0.3), ("head", 0.2), ("extra", 0.5),
-];
-
 /// Where a worker's connections arrive, by host and worker.
 type Links = Arc<Mutex<HashMap<(usize, String), Proxy>>>;
 
@@ -60,6 +50,8 @@
     store: Store,
     views: Vec<Store>,
     links: Links,
+    peers: Arc<OnceLock<Arc<Peers>>>,
+    site: &'static Site,
     judge: Arc<Mutex<Judge>>,
     record: Arc<Mutex<File>>,
     hosts: Vec<Mutex<Node>>,
@@ -79,11 +71,11 @@
     let number = |index: usize| arguments[index].parse::<u64>().expect("a number");
     let (seed, seconds) = (number(2), number(3));
     let (host_count, clients) = (setting("SOAK_HOSTS", 4) as usize, setting("SOAK_CLIENTS", 32));
-    let kinds = std::env::var("SOAK_FAULTS").unwrap_or_else(|_| "worker,kill,drain,stop,host,freeze,term,link,store".to_owned());
+    let kinds = std::env::var("SOAK_FAULTS").unwrap_or_else(|_| "worker,kill,drain,stop,host,freeze,term,link,store,peers,detour".to_owned());
     fs::create_dir_all(&folder).expect("a folder");
-    let soak = Soak::start(&root, &folder, host_count);
+    let soak = Soak::start(&root, &folder, host_count, seed);
     for index in 0..9 {
-        soak.start_worker(if index < 4 { "desk" } else { "writer" }, CHARNWOOD.zones[index % 3], 0, seed * 100 + index as u64, None);
+        soak.start_worker(if index < 4 { "desk" } else { "writer" }, soak.site.zones[index % 3], 0, seed * 100 + index as u64, None);
     }
     if !soak.start_hosts() {
         println!("seed {seed}: a host does not become ready");
@@ -108,22 +100,22 @@
     exit(code);
 }
 
-/// Returns the number in an environment variable, or the usual one.
-fn setting(name: &str, usual: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
-}
-
 impl Soak {
-    fn start(root: &std::path::Path, folder: &std::path::Path, host_count: usize) -> Self {
+    fn start(root: &std::path::Path, folder: &std::path::Path, host_count: usize, seed: u64) -> Self {
         let store = Store::start();
         store.put("keyed.op", "config", &CONFIGURATION.replace('\n', ""));
         let links: Links = Arc::default();
+        let peers: Arc<OnceLock<Arc<Peers>>> = Arc::default();
+        let site = if setting("SOAK_ARCHIVE", 0) == 1 { &SMA } else { &CHARNWOOD };
         let views: Vec<_> = (0..host_count)
             .map(|host| {
-                let links = Arc::clone(&links);
+                let (links, peers) = (Arc::clone(&links), Arc::clone(&peers));
                 store.view(Arc::new(move |value: &[u8]| {
                     let text = String::from_utf8_lossy(value);
-                    let Some((before, rest)) = text.split_once('@') else { return value.to_vec() };
+                    let Some((before, rest)) = text.split_once('@') else {
+                        let peers: Option<&Arc<Peers>> = peers.get();
+                        return peers.map_or(value.to_vec(), |peers| peers.rewrite(host, text.into_owned()).into_bytes());
+                    };
                     let Some((name, after)) = rest.split_once('@') else { return value.to_vec() };
                     let address = links.lock().unwrap().get(&(host, name.to_owned())).map(|proxy| proxy.address);
                     let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 1)));
@@ -133,14 +125,21 @@
             .collect();
         let chosen = std::env::var("SOAK_WORKER_FAULTS").unwrap_or_default();
         let scale = setting("SOAK_SCALE", 100) as f64 / 100.0;
+        // Hosts of two builds side by side.
+        let other = std::env::var("SOAK_OTHER_ROOT").ok().map(PathBuf::from);
         let hosts = views.iter().enumerate().map(|(host, view)| {
-            Mutex::new(Node::prepare(root, folder, &format!("edge-{host}"), &CHARNWOOD, CHARNWOOD.zones[host % 3], view.address))
+            let root = if host % 2 == 1 { other.as_deref().unwrap_or(root) } else { root };
+            Mutex::new(Node::prepare(root, folder, &format!("edge-{host}"), site, site.zones[host % 3], view.address))
         });
         let hosts: Vec<_> = hosts.collect();
+        let addresses: Vec<_> = hosts.iter().map(|host: &Mutex<Node>| host.lock().unwrap().hosts).collect();
+        let _ = peers.set(Peers::start(&addresses, seed));
         Self {
             store,
             views,
             links,
+            peers,
+            site,
             judge: Arc::default(),
             record: Arc::new(Mutex::new(File::create(folder.join("record.txt")).expect("the folder can be written"))),
             rotation: Arc::new(hosts.iter().map(|_| AtomicBool::new(true)).collect()),
@@ -329,156 +328,9 @@
         }
     }
 
-    fn make_trouble(&self, kinds: &str, rng: &mut Rng, until: Instant) {
-        let kinds: Vec<_> = kinds.split(',').collect();
-        thread::sleep(Duration::from_secs(2));
-        thread::scope(|scope| {
-            while Instant::now() + Duration::from_secs(3) < until {
-                let kind = *rng.pick(&kinds);
-                let mut own = Rng::new(rng.next());
-                scope.spawn(move || self.trouble(kind, &mut own));
-                thread::sleep(Duration::from_millis(rng.range(150, 1_500)));
-            }
-        });
-    }
-
-    fn trouble(&self, kind: &str, rng: &mut Rng) {
-        let time = Duration::from_millis(rng.range(300, 4_000));
-        let host = rng.range(0, self.hosts.len() as u64 - 1) as usize;
-        match kind {
-            "worker" => {
-                let (fault, most) = *rng.pick(&self.faults);
-                let service = *rng.pick(&["desk", "writer"]);
-                let one = rng.chance(0.5).then(|| rng.range(0, 3) as usize);
-                let names: Vec<_> = self.workers.lock().unwrap().iter().filter(|worker| worker.service == service).map(|worker| worker.name.clone()).collect();
-                let names: Vec<_> = names.into_iter().enumerate().filter(|(index, _)| one.is_none_or(|one| *index == one)).map(|(_, name)| name).collect();
-                self.line(&format!("fault {fault} at {names:?} for {time:?}"));
-                for share in [most, 0.0] {
-                    for worker in self.workers.lock().unwrap().iter_mut().filter(|worker| names.contains(&worker.name)) {
-                        let _ = worker.input.write_all(format!("fault {fault} {share}\n").as_bytes());
-                    }
-                    if share > 0.0 {
-                        thread::sleep(time);
-                    }
-                }
-            }
-            "kill" | "drain" => {
-                let Some(mut worker) = self.take_worker(rng) else { return };
-                self.line(&format!("{kind} worker {}", worker.name));
-                if kind == "drain" {
-                    worker.state.store(DRAINING, Ordering::SeqCst);
-                    thread::sleep(Duration::from_millis(2_800));
-                }
-                let _ = worker.child.kill();
-                let at = now();
-                worker.state.store(ENDED, Ordering::SeqCst);
-                self.judge.lock().unwrap().worker_troubles.entry(worker.name.clone()).or_default().push((at, at));
-                let _ = worker.child.wait();
-                thread::sleep(time);
-                // Addresses are used again, also by the other service.
-                let service = if rng.chance(0.15) { *rng.pick(&["desk", "writer"]) } else { worker.service };
-                let port = if rng.chance(0.5) { worker.port } else { 0 };
-                let name = (service == worker.service && rng.chance(0.2)).then(|| worker.name.clone());
-                self.start_worker(service, worker.zone, port, rng.next() >> 20, name);
-            }
-            "stop" => {
-                let (name, pid) = {
-                    let workers = self.workers.lock().unwrap();
-                    let worker = rng.pick(&workers);
-                    (worker.name.clone(), worker.child.id())
-                };
-                let from = now();
-                self.line(&format!("stop worker {name} for {time:?}"));
-                signal(pid, SIGSTOP);
-                thread::sleep(time);
-                signal(pid, SIGCONT);
-                self.judge.lock().unwrap().worker_troubles.entry(name).or_default().push((from, now()));
-            }
-            "host" | "freeze" | "term" => {
-                let from = now();
-                self.line(&format!("{kind} edge-{host} for {time:?}"));
-                let pid = self.hosts[host].lock().unwrap().pid() as u32;
-                match kind {
-                    "freeze" => {
-                        signal(pid, SIGSTOP);
-                        thread::sleep(time);
-                        signal(pid, SIGCONT);
-                    }
-                    _ => {
-                        if kind == "term" {
-                            signal(pid, SIGTERM);
-                            let end = Instant::now() + Duration::from_secs(8);
-                            while Instant::now() < end && self.hosts[host].lock().unwrap().ended().is_none() {
-                                thread::sleep(Duration::from_millis(50));
-                            }
-                        }
-                        self.hosts[host].lock().unwrap().kill();
-                        thread::sleep(time / 4);
-                        self.hosts[host].lock().unwrap().start();
-                    }
-                }
-                self.judge.lock().unwrap().host_troubles.push((host, from, now()));
-                if rng.chance(0.1) {
-                    self.hosts[host].lock().unwrap().signal(SIGHUP);
-                }
-            }
-            "link" => {
-                let state = *rng.pick(&[proxy::CUT, proxy::CUT, proxy::DEAF, proxy::RESET]);
-                let share = *rng.pick(&[1.0, 1.0, 0.5]);
-                let links = self.links.lock().unwrap().clone();
-                let chosen: Vec<_> = links.iter().filter(|((of, _), _)| *of == host && rng.chance(share)).collect();
-                let time = if state == proxy::RESET { Duration::from_millis(30) } else { time * 2 };
-                self.line(&format!("links of edge-{host} to {} workers: state {state} for {time:?}", chosen.len()));
-                let from = now();
-                chosen.iter().for_each(|(_, link)| link.set(state));
-                thread::sleep(time);
-                // Bytes that a cut held up are lost if the connection is reset after it.
-                if state == proxy::CUT && rng.chance(0.5) {
-                    chosen.iter().for_each(|(_, link)| link.set(proxy::RESET));
-                    thread::sleep(Duration::from_millis(30));
-                }
-                let current = self.links.lock().unwrap();
-                for (key, link) in &chosen {
-                    if current.get(*key).is_some_and(|known| known.address == link.address) {
-                        link.set(proxy::OPEN);
-                    }
-                }
-                drop(current);
-                let mut judge = self.judge.lock().unwrap();
-                judge.host_troubles.push((host, from, now()));
-                if state != proxy::RESET {
-                    for (key, _) in chosen {
-                        judge.link_troubles.entry(key.clone()).or_default().push((from, now()));
-                    }
-                }
-            }
-            _ => {
-                let state = *rng.pick(&[store::REFUSES, store::MUTE]);
-                let all = rng.chance(0.3);
-                self.line(&format!("store state {state} for {}", if all { "all".to_owned() } else { format!("edge-{host}") }));
-                let views = self.views.iter().enumerate().filter(|(index, _)| all || *index == host);
-                views.clone().for_each(|(_, view)| view.set(state));
-                thread::sleep(time);
-                views.for_each(|(_, view)| view.set(store::UP));
-            }
-        }
-    }
-
-    /// Takes a worker of a service that has others left.
-    fn take_worker(&self, rng: &mut Rng) -> Option<Worker> {
-        let mut workers = self.workers.lock().unwrap();
-        if workers.is_empty() {
-            return None;
-        }
-        let index = rng.range(0, workers.len() as u64 - 1) as usize;
-        let service = workers[index].service;
-        let left = workers.iter().filter(|worker| worker.service == service).count();
-        (left > 1).then(|| workers.remove(index))
-    }
-
     fn report(&self, seed: u64, folder: &std::path::Path) -> i32 {
         let judge = self.judge.lock().unwrap();
-        let bounds = Bounds { ratio: 0.2, floor: f64::from(CHARNWOOD.retry_floor), window: 10_000, stability: 3_000 };
+        let bounds = Bounds { ratio: 0.2, floor: f64::from(self.site.retry_floor), window: 10_000, stability: 3_000 };
         let (broken, figures) = judge.verdict(&bounds);
         let mut text = String::new();
         for (rule, cases) in &broken {
@@ -493,13 +345,3 @@
         i32::from(broken.keys().any(|rule| !rule.contains("information")))
     }
 }
-
-fn signal(pid: u32, number: i32) {
-    extern "C" {
-        fn kill(pid: i32, signal: i32) -> i32;
-    }
-    if pid > 0 {
-        // SAFETY: a plain system call; the process is a child of this one.
-        unsafe { kill(pid as i32, number) };
-    }
-}
--- a/review/standins/src/bin/soak_worker.rs
+++ b/review/standins/src/bin/soak_worker.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use review_standins::caller::EVENTS;
-use review_standins::http::{read_request, Message};
+use review_standins::http::{read_body, read_head, Message};
 use review_standins::rng::Rng;
 use review_standins::socket;
 use review_standins::worker::{stream_event, unframed_body};
@@ -101,7 +101,22 @@
                 return;
             }
             let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-            let Ok(Some(request)) = read_request(&mut reader) else { return };
+            let Ok(Some(mut request)) = read_head(&mut reader) else { return };
+            let is_long = request.header("content-length").is_some_and(|length| length.len() > 4);
+            if is_long && self.has("early") {
+                // Refused before its body is read.
+                let id = request.header("x-attempt-id").unwrap_or("-").to_owned();
+                self.note("arrives", &id, request.header("x-remaining-milliseconds").unwrap_or("-"), stream);
+                self.note("rejects", &id, "-", stream);
+                let refusal = format!("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                if writer.write_all(refusal.as_bytes()).is_err() || read_body(&mut reader, &mut request).is_err() {
+                    return;
+                }
+                continue;
+            }
+            if read_body(&mut reader, &mut request).is_err() {
+                return;
+            }
             if !self.respond(&request, stream, &mut writer) {
                 return;
             }
@@ -121,6 +136,11 @@
                 let body = format!("{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"sequence\":2,\"queuedRequests\":0,\"activeRequests\":{busy},\"kvCacheUsed\":{},\"kvCacheTotal\":450000,\"handles\":0,\"pace\":1.0,\"tickets\":[]}}", busy * 6_000);
                 return send(writer, plain("200 OK", &body, "Content-Type: application/json\r\n"));
             }
+            "/-/order" if self.has("order") => {
+                // Carried out late, and answered or not.
+                self.pause(300, 3_000);
+                return self.range(0, 1) == 0 && send(writer, plain("200 OK", "{\"free\":200000}", "Content-Type: application/json\r\n"));
+            }
             "/-/order" => return send(writer, plain("200 OK", "{\"free\":200000}", "Content-Type: application/json\r\n")),
             _ => {}
         }
@@ -138,6 +158,11 @@
             self.note("rejects", &id, &remaining, stream);
             return send(writer, plain("400 Bad Request", "", "X-Not-Executed: 1\r\n"));
         }
+        let helper = request.header("x-helpers").and_then(|list| list.split(['/', ',']).next());
+        if let Some(helper) = helper.filter(|_| self.has("helper")) {
+            self.note("rejects", &id, &remaining, stream);
+            return send(writer, plain("503 Service Unavailable", "", &format!("{named}At-Server: {helper}\r\n")));
+        }
         if self.busy.load(Ordering::SeqCst) >= self.slots || self.has("full") {
             self.note("rejects", &id, &remaining, stream);
             let kept = send(writer, plain("503 Service Unavailable", "", &named));
--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -22,10 +22,11 @@
     pub remaining: Millis,
 }
 
-pub const KINDS: [Kind; 5] = [
+pub const KINDS: [Kind; 6] = [
     Kind { path: "look", service: "desk", repeatable: true, max_attempts: 2, remaining: 2_500 },
     Kind { path: "peek", service: "desk", repeatable: true, max_attempts: 1, remaining: 2_500 },
     Kind { path: "book", service: "desk", repeatable: false, max_attempts: 2, remaining: 2_500 },
+    Kind { path: "sell", service: "desk", repeatable: false, max_attempts: 1, remaining: 2_500 },
     Kind { path: "ask", service: "writer", repeatable: true, max_attempts: 3, remaining: 10_000 },
     Kind { path: "tell", service: "writer", repeatable: false, max_attempts: 2, remaining: 10_000 },
 ];
@@ -39,7 +40,13 @@
     let _ = stream.set_read_timeout(Some(leaves.unwrap_or(left + Duration::from_millis(700))));
     let _ = stream.set_write_timeout(Some(left));
     let body = vec![b'x'; if rng.chance(0.1) { 60_000 } else { 60 }];
-    let stream_headers = if kind.service == "writer" { format!("X-Model: m\r\nX-Token-Counts: 5000,552\r\nX-Prompt-Prefix-Hash: 0a:40,{}:4960\r\n", id.replace('-', "")) } else { String::new() };
+    // Long prompts are read by several workers.
+    let tokens = if rng.chance(0.2) { 120_000 } else { 5_000 };
+    let stream_headers = if kind.service == "writer" {
+        format!("X-Model: m\r\nX-Token-Counts: {tokens},552\r\nX-Prompt-Prefix-Hash: 0a:40,{}:{}\r\n", id.replace('-', ""), tokens - 40)
+    } else {
+        String::new()
+    };
     let head = format!(
         "POST /{}/{id} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n{stream_headers}X-Remaining-Milliseconds: {}\r\nAuthorization: Bearer key-1\r\nContent-Length: {}\r\n\r\n",
         kind.path,
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod http;
 pub mod judge;
 pub mod node;
+pub mod peers;
+pub mod plan;
 pub mod proxy;
 pub mod record;
 pub mod rng;
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -42,6 +42,10 @@
         Self { address, state }
     }
 
+    pub fn state(&self) -> u8 {
+        self.state.load(Ordering::SeqCst)
+    }
+
     pub fn set(&self, state: u8) {
         self.state.store(state, Ordering::SeqCst);
     }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -31,6 +31,8 @@
 pub const REFUSES: u8 = 1;
 /// The store carries out each call and does not answer.
 pub const MUTE: u8 = 2;
+/// The store answers late.
+pub const SLOW: u8 = 3;
 
 /// The store. It loses nothing that it has acknowledged.
 #[derive(Clone)]
@@ -108,7 +110,12 @@
                     self.respond(&request);
                     continue;
                 }
-                _ => self.respond(&request),
+                state => {
+                    if state == SLOW {
+                        thread::sleep(Duration::from_millis(1_500));
+                    }
+                    self.respond(&request)
+                }
             };
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
