Return a retry lent to another host only if that host reports no arrival

Services could have got more retries than withdrawn: a host of an earlier build that refuses a request does not report how many endpoints had rejected it, and the retry was refunded all the same. Found by reading; a refusal without a report now keeps what it drew. The state of a draw is an enum behind a lock instead of a number.

--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -150,7 +150,6 @@
 const LATE_PART: f64 = 0.1;
 /// Part of a host's share of the floor up to which it saves what first attempts earn.
 const SAVED_PART: f64 = 0.5;
-
 /// Retries that a host saves at least, since a part of one cannot be sent.
 const MIN_SAVED: f64 = 1.0;
 
@@ -193,9 +192,9 @@
 /// One host's part of a retry budget that is limited for all hosts together, by the first attempts of
 /// all hosts in the same window and a floor.
 ///
-/// The parts add up to the limit however requests move between hosts, and whenever each host retries.
-/// First attempts earn retries that are used soon: what a host saves of them is a part of its share
-/// of the floor, since in the window in which it uses them, other hosts may use all that is earned.
+/// In any window the hosts together make at most what the first attempts of that window earn, what
+/// they had saved when it began, and what each may make in addition. So a host's savings count as a
+/// part of its share of the floor, and the limit holds however requests move between hosts.
 #[derive(Debug)]
 pub struct Share {
     earned: Budget,
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use kernel::clock::Instant;
@@ -76,7 +75,7 @@
             budgets: self,
             service,
             request,
-            state: AtomicU8::new(PREPARED),
+            state: Mutex::new(State::Prepared),
         };
         if !self.update(service, |budget| budget.has_left(division, now)) {
             draw.log("withheld", division);
@@ -92,17 +91,20 @@
             budgets: self,
             service,
             request,
-            state: AtomicU8::new(FREE),
+            state: Mutex::new(State::Free),
         }
     }
 }
 
-/// Nothing is withdrawn yet.
-const PREPARED: u8 = 0;
-/// One retry is withdrawn.
-const WITHDRAWN: u8 = 1;
-/// The send is no retry.
-const FREE: u8 = 2;
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The send is not a retry, and withdraws nothing.
+    Free,
+    /// Nothing is withdrawn yet.
+    Prepared,
+    /// One retry is withdrawn.
+    Withdrawn,
+}
 
 /// What one send draws on the retry budget of its service.
 ///
@@ -113,22 +115,22 @@
     budgets: &'a Budgets,
     service: &'a Service,
     request: &'a str,
-    state: AtomicU8,
+    state: Mutex<State>,
 }
 
 impl Draw<'_> {
     /// Withdraws the retry unless that has been done; returns whether it may be sent.
     pub fn take(&self) -> bool {
-        if self.state.load(Ordering::Relaxed) != PREPARED {
+        let mut state = self.state.lock();
+        if *state != State::Prepared {
             return true;
         }
         let now = self.budgets.clock.now();
         let division = self.budgets.division(now);
-        let allowed = self
-            .budgets
-            .update(self.service, |budget| budget.withdraw(division, now));
+        let withdraw = |budget: &mut Share| budget.withdraw(division, now);
+        let allowed = self.budgets.update(self.service, withdraw);
         if allowed {
-            self.state.store(WITHDRAWN, Ordering::Relaxed);
+            *state = State::Withdrawn;
         }
         self.log(if allowed { "allowed" } else { "withheld" }, division);
         allowed
@@ -136,8 +138,9 @@
 
     /// Returns the retry to the budget if it was withdrawn, because nothing was sent.
     pub fn refund(&self) {
-        if self.state.load(Ordering::Relaxed) == WITHDRAWN {
-            self.state.store(PREPARED, Ordering::Relaxed);
+        let mut state = self.state.lock();
+        if *state == State::Withdrawn {
+            *state = State::Prepared;
             self.budgets.update(self.service, Share::refund);
             observe::count_retry(self.service, "refunded");
         }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -192,12 +192,11 @@
                 return Asked::Stream(upstream);
             }
             Outcome::Refused(response, report) => {
-                // A refusal states that the request has not run.
-                let report = report.unwrap_or_default();
-                if report.arrivals() == 0 {
+                if report.is_some_and(|report| report.arrivals() == 0) {
                     draw.refund();
                 }
-                attempts.settle(loan, Some(report));
+                // A refusal states that the request has not run.
+                attempts.settle(loan, Some(report.unwrap_or_default()));
                 asked.push(helper.host.clone());
                 refusal = Some(response);
                 ("refused", String::new())
