--- a/review/standins/src/bin/soak/main.rs
+++ b/review/standins/src/bin/soak/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Arguments: the repository or work tree whose `target/release/filbertstage` is played, a folder for the
 //! record and the logs, the seed, the seconds. `SOAK_HOSTS`, `SOAK_CLIENTS` set how many there are, `SOAK_FAULTS`
-//! which kinds of faults come, `SOAK_WORKER_FAULTS` which of workers (all by default), and `SOAK_SCALE` by how many
+//! which kinds of faults come, `SOAK_WORKER_FAULTS` which of workers (all by default), `SOAK_REQUESTS` which
+//! kinds of requests clients send, and `SOAK_SCALE` by how many
 //! percent of its usual share each of these is scaled. `SOAK_OTHER_ROOT` is a work tree whose program every second host
 //! runs, and `SOAK_ARCHIVE=1` takes the settings of sma-qro. Exits with 1 if a rule is broken.
 
@@ -19,11 +20,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use review_standins::caller::{exchange, KINDS};
+use review_standins::caller::{exchange, Kind, KINDS};
 use review_standins::judge::{now, Attempt, Bounds, End, Judge, Millis, Step};
 use review_standins::node::{Node, Site, CHARNWOOD, SMA};
 use review_standins::peers::Peers;
-use review_standins::plan::{setting, CONFIGURATION, FAULTS};
+use review_standins::plan::{is_chosen, setting, CONFIGURATION, FAULTS};
 use review_standins::proxy::{self, Proxy};
 use review_standins::rng::Rng;
 use review_standins::store::Store;
@@ -58,6 +59,8 @@
     /// Whether the balancer sends new connections to a host.
     rotation: Arc<Vec<AtomicBool>>,
     workers: Mutex<Vec<Worker>>,
+    /// The kinds of requests that clients send.
+    requests: Vec<&'static Kind>,
     /// The faults of workers that come.
     faults: Vec<(&'static str, f64)>,
     numbers: AtomicU64,
@@ -123,7 +126,6 @@
                 }))
             })
             .collect();
-        let chosen = std::env::var("SOAK_WORKER_FAULTS").unwrap_or_default();
         let scale = setting("SOAK_SCALE", 100) as f64 / 100.0;
         // Hosts of two builds side by side.
         let other = std::env::var("SOAK_OTHER_ROOT").ok().map(PathBuf::from);
@@ -145,9 +147,10 @@
             rotation: Arc::new(hosts.iter().map(|_| AtomicBool::new(true)).collect()),
             hosts,
             workers: Mutex::default(),
+            requests: KINDS.iter().filter(|kind| is_chosen("SOAK_REQUESTS", kind.path)).collect(),
             faults: FAULTS
                 .into_iter()
-                .filter(|(name, _)| chosen.is_empty() || chosen.split(',').any(|known| known == *name))
+                .filter(|(name, _)| is_chosen("SOAK_WORKER_FAULTS", name))
                 .map(|(name, share)| (name, (share * scale).min(0.95)))
                 .collect(),
             numbers: AtomicU64::new(0),
@@ -266,7 +269,7 @@
         let mut kept: Option<(usize, TcpStream, Instant)> = None;
         let mut number = 0;
         while Instant::now() < until {
-            let kind = rng.pick(&KINDS);
+            let kind = rng.pick(&self.requests);
             let deadline = Instant::now() + Duration::from_millis(kind.remaining);
             // One retry, as on the sheets.
             for attempt in 0..2 {
--- a/review/standins/src/plan.rs
+++ b/review/standins/src/plan.rs
@@ -22,3 +22,8 @@
 pub fn setting(name: &str, usual: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
 }
+
+/// Whether an environment variable with a list names `name`, or there is no such list.
+pub fn is_chosen(variable: &str, name: &str) -> bool {
+    std::env::var(variable).map_or(true, |list| list.split(',').any(|known| known == name))
+}
