Move the stages of a shutdown to a crate of their own

A host has stages for its exit, in which each request that was read gets a response; a node has none and needs the same. The stages and the loop that goes through them are now the crate `shutdown`, which both can use. Hosts keep their times and their behaviour. Whether a host drains is no longer kept twice.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -10,7 +10,6 @@
 use crate::body::Body;
 use crate::budget::{Budgets, Draw};
 use crate::headers::error_response;
-use crate::shutdown;
 
 /// Reason why a request is given up without a response from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,7 +40,6 @@
 mod reservation;
 pub mod server;
 pub mod settings;
-mod shutdown;
 mod stream;
 pub mod transport;
 
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -16,6 +16,7 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use shutdown::{Shutdown, Stage};
 
 use crate::accepted::{Accepted, Origin};
 use crate::adapter::{Dialect, Memory, Metadata};
@@ -33,9 +34,8 @@
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
-use crate::shutdown::{Shutdown, Stage};
 use crate::transport::Dialer;
-use crate::{detour, loan, observe, plain, shutdown, stream};
+use crate::{detour, loan, observe, plain, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use buffer::Buffers;
@@ -14,10 +13,11 @@
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
+use shutdown::{Schedule, Shutdown, Stage};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::accepted::Origin;
 use crate::adapter::{Dialect, Location, Memory, Store};
@@ -40,7 +40,6 @@
 use crate::registry::Registry;
 use crate::server::Server;
 use crate::settings::{Listen, Settings};
-use crate::shutdown::{Shutdown, Stage};
 use crate::transport::{self, Dialer};
 
 /// Interval at which waiting streams are assigned again, because engines may become free by the
@@ -55,8 +54,6 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Part of the grace period in which requests that still run get their final responses.
 const ENDING_TIME: Duration = Duration::from_millis(200);
-/// Interval of checking whether all requests of a draining host have ended.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interfaces to the platform, implemented by the platform's adapter.
 #[derive(Clone)]
@@ -77,7 +74,6 @@
     hosts: Arc<Hosts>,
     server: Arc<Server>,
     shutdown: Arc<Shutdown>,
-    draining: Arc<AtomicBool>,
     client_address: SocketAddr,
     metrics_address: Option<SocketAddr>,
     grace: Duration,
@@ -195,7 +191,6 @@
             clock,
             &settings.resources,
         ));
-        let draining = Arc::new(AtomicBool::new(false));
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&follower).follow_configurations());
         tasks.spawn(Arc::clone(&follower).follow_endpoints());
@@ -211,7 +206,7 @@
             registry: Arc::clone(&registry),
             quarantine: Arc::clone(&quarantine),
             server: Arc::clone(&server),
-            draining: Arc::clone(&draining),
+            shutdown: Arc::clone(&shutdown),
             evacuations,
             buffers: buffers.clone(),
         };
@@ -228,7 +223,6 @@
             hosts,
             server,
             shutdown,
-            draining,
             client_address: address,
             metrics_address: bound_metrics_address,
             grace: settings.grace(),
@@ -254,7 +248,7 @@
     pub fn ready(&self) -> bool {
         self.registry.can_serve()
             && self.quarantine.is_synced()
-            && !self.draining.load(Ordering::SeqCst)
+            && !self.shutdown.has_reached(Stage::Draining)
     }
 
     /// Reports the host as not ready to the load balancer, and waits within the grace period until
@@ -264,33 +258,20 @@
     /// Returns whether all requests ended by themselves.
     pub async fn drain(&self) -> bool {
         log::info!("event=draining running={}", self.server.running());
-        self.draining.store(true, Ordering::SeqCst);
         self.links.drain(&self.hosts);
-        self.shutdown.enter(Stage::Draining);
-        let serving = self.grace.saturating_sub(EXIT_MARGIN + ENDING_TIME);
-        let drained = timeout(serving, async {
-            sleep(DEREGISTRATION_DELAY).await;
-            self.shutdown.enter(Stage::Closing);
-            self.wait_until_finished().await;
-        });
-        let whole = drained.await.is_ok();
-        if !whole {
-            self.shutdown.enter(Stage::Ending);
-            // The process exits whether or not all responses are written.
-            let _ = timeout(ENDING_TIME, self.wait_until_finished()).await;
-        }
+        let schedule = Schedule {
+            notice: DEREGISTRATION_DELAY,
+            closing: DEREGISTRATION_DELAY,
+            ending: self.grace.saturating_sub(EXIT_MARGIN + ENDING_TIME),
+            last_responses: ENDING_TIME,
+        };
+        let whole = self.shutdown.run(&schedule, &*self.server).await;
         log::info!(
             "event=drained whole={whole} running={}",
             self.server.running()
         );
         whole
     }
-
-    async fn wait_until_finished(&self) {
-        while !self.server.is_finished() {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-    }
 }
 
 fn new_placer(
@@ -373,7 +354,7 @@
     registry: Arc<Registry>,
     quarantine: Arc<Quarantine>,
     server: Arc<Server>,
-    draining: Arc<AtomicBool>,
+    shutdown: Arc<Shutdown>,
     evacuations: Arc<Evacuations>,
     buffers: Buffers,
 }
@@ -383,7 +364,7 @@
     fn readiness(&self) -> Response<Body> {
         let ready = self.registry.can_serve()
             && self.quarantine.is_synced()
-            && !self.draining.load(Ordering::SeqCst);
+            && !self.shutdown.has_reached(Stage::Draining);
         let mut response = Response::new(Body::whole(""));
         if !ready {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use kernel::detour;
+use shutdown::{Shutdown, Stage, Work};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
@@ -27,7 +28,6 @@
 use crate::observe;
 use crate::pipeline::{self, Pipeline};
 use crate::settings::Resources;
-use crate::shutdown::{Shutdown, Stage};
 use crate::transport;
 
 /// Maximum buffer size of a client connection, in bytes. The head of a request must fit into it.
@@ -121,6 +121,16 @@
     }
 }
 
+impl Work for Server {
+    fn is_idle(&self) -> bool {
+        self.running() == 0
+    }
+
+    fn is_finished(&self) -> bool {
+        self.is_idle() && self.unwritten.load(Ordering::SeqCst) == 0
+    }
+}
+
 impl Server {
     /// Creates a server without connections.
     #[must_use]
@@ -148,12 +158,6 @@
         detour::takes_guest(guests.saturating_sub(1), own)
     }
 
-    /// Whether no request is running and all responses are written.
-    #[must_use]
-    pub fn is_finished(&self) -> bool {
-        self.running() == 0 && self.unwritten.load(Ordering::SeqCst) == 0
-    }
-
     fn shutdown(&self) -> &Shutdown {
         &self.pipeline.shutdown
     }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -14,6 +14,7 @@
 use kernel::outlier::Observation;
 use kernel::place::Request;
 use kernel::place::value::Origin;
+use shutdown::Stage;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -30,7 +31,6 @@
 };
 use crate::quarantine::Admission;
 use crate::reservation::{self, Reservations};
-use crate::shutdown::Stage;
 use crate::transport::{Exchange, Failure};
 
 /// Time beyond twice the predicted time to the first event after which an engine counts as
--- a/crates/relay/src/shutdown.rs
+++ b/crates/shutdown/src/lib.rs
@@ -1,10 +1,17 @@
-//! The shutdown of a host, in stages.
+//! The shutdown of a process, in stages.
+//!
+//! Each request that was read gets a response before the process exits: it is served, refused while
+//! nothing of it was sent to an endpoint, or ended with a response that promises nothing.
+
+mod drain;
 
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-/// Shutdown stage of a host.
+pub use drain::{Schedule, Work};
+
+/// Stage of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     /// Accepts connections and serves requests.
@@ -18,8 +25,8 @@
     Ending,
 }
 
-/// `Retry-After` of requests that are refused because the host shuts down. The client retries over a
-/// new connection to another host.
+/// `Retry-After` of requests that are refused because the process shuts down. The client retries over
+/// a new connection to another host.
 pub const RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// The current stage, for those that must act on it.
@@ -37,9 +44,13 @@
 }
 
 impl Shutdown {
-    /// Moves on to `stage`.
+    /// Moves on to `stage`, unless it has been reached.
     pub fn enter(&self, stage: Stage) {
-        self.stage.send_replace(stage);
+        self.stage.send_if_modified(|current| {
+            let is_later = stage > *current;
+            *current = stage.max(*current);
+            is_later
+        });
     }
 
     /// Whether `stage` has been reached.
