Give each completion a response before a node exits

Cause: `Node::drain` waited until the node was idle or `times.drain_ms` had passed, and then ended the connections. Neither the queue nor the running requests knew of the exit.

After half of the drain a completion that waits for an engine is refused as not run; in the last part those that still run end with `failed`, streams with an error event. The node exits when the responses are written, where before it did not look at them. A request that was handed to another domain counts as sent while its frame may be on the way. Responses in the drain close their connection.

--- a/bin/filbertstage/tests/node_support/mod.rs
+++ b/bin/filbertstage/tests/node_support/mod.rs
@@ -1,5 +1,8 @@
 //! A node as a process of its own, before fakes of the engine and the platform in the test's process.
 
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
 pub mod crowd;
 pub mod faulty;
 pub mod http;
@@ -29,7 +32,7 @@
 const KEY_HASH: &str = "d9f376b9bf894cc2c24e74981b01839a2dcf84bf07c5bb6bea376e90c4c7ae81";
 const OPERATOR_KEY: &str = "operator-key";
 const OPERATOR_KEY_HASH: &str = "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
-const MODEL: &str = "report-writer";
+pub const MODEL: &str = "report-writer";
 /// The model of the faulty engines.
 pub const FAULTY_MODEL: &str = "faulty-writer";
 /// The service of the faulty workers.
@@ -44,11 +47,16 @@
     pub workers: Vec<SocketAddr>,
     /// Starts a server in front of the platform at the given address.
     pub platform: Option<Box<dyn Fn(SocketAddr) -> SocketAddr>>,
+    /// Changes the engine of [`MODEL`].
+    pub engine: Option<fn(&mut Config)>,
+    /// Maximum duration of a drain, in milliseconds.
+    pub drain_ms: Option<u64>,
 }
 
 /// A node and all that it needs.
 pub struct Site {
     child: Child,
+    settings: PathBuf,
     pub callers: SocketAddr,
     pub nodes: SocketAddr,
     directory: PathBuf,
@@ -66,7 +74,7 @@
             .enable_all()
             .build()
             .expect("a runtime");
-        let (engine, platform) = fakes.block_on(start_fakes());
+        let (engine, platform) = fakes.block_on(start_fakes(plan));
         let platform = plan
             .platform
             .as_ref()
@@ -79,6 +87,10 @@
         ));
         std::fs::create_dir_all(&directory).expect("a directory");
         let file = directory.join("node.json");
+        let mut times = json!({ "watch_ms": 100 });
+        if let Some(limit) = plan.drain_ms {
+            times["drain_ms"] = limit.into();
+        }
         let settings = json!({
             "host": "entry-1",
             "domain": "charnwood",
@@ -87,7 +99,7 @@
             "listen": { "callers": callers, "nodes": nodes },
             "platform": { "address": platform },
             "admission": { "body_bytes": BODY_BYTES },
-            "times": { "watch_ms": 100 },
+            "times": times,
             "resources": { "memory_mb": 160, "descriptors": 256 },
         });
         std::fs::write(&file, settings.to_string()).expect("the settings are written");
@@ -105,6 +117,7 @@
         keep_log(&mut child, directory.join("log"));
         let mut site = Self {
             child,
+            settings: file,
             callers,
             nodes,
             directory,
@@ -148,7 +161,37 @@
             .map_err(|error| error.to_string())
     }
 
-    fn assert_alive(&mut self) {
+    /// Sends the node a signal, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "no {name} sent");
+    }
+
+    /// Waits until the node has exited, and returns its exit code.
+    pub fn wait_for_exit(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the state of the node") {
+                return status.code();
+            }
+            assert!(started.elapsed() < GUARD, "the node does not exit");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Returns what the node has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.directory.join("log")).expect("a log")
+    }
+
+    /// Rewrites the settings file with `change`.
+    pub fn edit_settings(&self, change: impl FnOnce(&str) -> String) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        std::fs::write(&self.settings, change(&text)).expect("the settings are written");
+    }
+
+    pub fn assert_alive(&mut self) {
         let ended = self.child.try_wait().expect("the state of the node");
         assert!(ended.is_none(), "the node ended: {ended:?}");
     }
@@ -217,11 +260,14 @@
     }
 }
 
-async fn start_fakes() -> (SocketAddr, SocketAddr) {
+async fn start_fakes(plan: &Plan) -> (SocketAddr, SocketAddr) {
     let platform = Platform::new();
     let mut config = Config::scaled("engine-1", MODEL, 1_000);
     config.kv_total = 8_000_000;
     config.max_running = 1_000;
+    if let Some(change) = plan.engine {
+        change(&mut config);
+    }
     let engine = Engine::new(config, platform.weights.clone());
     let engine = engine.serve().await.expect("the engine starts");
     let platform = platform.serve(0).await.expect("the platform starts");
@@ -275,7 +321,10 @@
         "models": [{ "name": MODEL, "version": "1" }, { "name": FAULTY_MODEL, "version": "1" }],
         "endpoints": endpoints,
         "services": [{
-            "name": FAULTY_SERVICE, "calls": [{ "name": "conditions", "repeatable": true }],
+            "name": FAULTY_SERVICE, "calls": [
+                { "name": "conditions", "repeatable": true },
+                { "name": "booking", "repeatable": false },
+            ],
         }],
     });
     [
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,7 @@
     started: Instant,
     table: Mutex<Table>,
     open: Mutex<HashMap<Id, Arc<Connection>>>,
+    unwritten: AtomicUsize,
 }
 
 impl Connections {
@@ -28,6 +30,7 @@
             started: Instant::now(),
             table: Mutex::new(Table::new(limit)),
             open: Mutex::default(),
+            unwritten: AtomicUsize::new(0),
         })
     }
 
@@ -36,6 +39,12 @@
         clock::Instant::from_micros(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
+    /// Number of connections on which a request was read, and whose last response may not be written
+    /// yet.
+    pub fn unwritten(&self) -> usize {
+        self.unwritten.load(Ordering::SeqCst)
+    }
+
     /// Adds a new connection; `None` if it is to be closed, since requests run on all others.
     pub fn admit(self: &Arc<Self>) -> Option<Arc<Connection>> {
         let now = self.now();
@@ -98,7 +107,9 @@
     pub fn start_request(self: &Arc<Self>) -> Request {
         let mut activity = self.activity.lock();
         activity.running += 1;
-        activity.has_served = true;
+        if !std::mem::replace(&mut activity.has_served, true) {
+            self.connections.unwritten.fetch_add(1, Ordering::SeqCst);
+        }
         activity.head_since = None;
         self.connections.table.lock().record_busy(self.id);
         Request(Arc::clone(self))
@@ -155,6 +166,9 @@
     pub fn end(&self) {
         self.connections.table.lock().remove(self.id);
         self.connections.open.lock().remove(&self.id);
+        if self.has_served() {
+            self.connections.unwritten.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod connection;
 mod deferred;
 mod dispatch;
+mod exit;
 mod follow;
 mod gossip;
 pub mod invariant;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,26 +7,21 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
 use crate::connection::Connections;
+use crate::exit::{self, Remaining};
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::shared::{Dependencies, Shared};
 use crate::{api, claims, deferred, dispatch, follow, gossip, peer, reconcile, watch};
 
-/// Interval between two checks of whether a draining node is idle.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which a drained node still reports that it is not ready before its server stops.
-const DRAIN_LINGER: Duration = Duration::from_millis(200);
-
 /// A running node. Dropping it stops its tasks.
 pub struct Node {
     shared: Arc<Shared>,
     callers: SocketAddr,
     nodes: SocketAddr,
-    drained: Arc<Notify>,
+    connections: Arc<Connections>,
     _tasks: JoinSet<()>,
 }
 
@@ -44,14 +39,14 @@
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let address = callers.local_addr()?;
         let shared = Arc::new(Shared::new(settings, dependencies, nodes));
-        let drained = Arc::new(Notify::new());
+        let connections = Connections::new(shared.settings.resources.max_callers());
         let mut tasks = JoinSet::new();
         start_tasks(&mut tasks, &shared, listener, &socket);
         let server = Server {
             router: api::router(&shared),
             max_headers: shared.settings.admission.headers,
-            connections: Connections::new(shared.settings.resources.max_callers()),
-            drained: Arc::clone(&drained),
+            connections: Arc::clone(&connections),
+            shared: Arc::clone(&shared),
         };
         tasks.spawn(server.run(callers));
         log::info!(
@@ -64,7 +59,7 @@
             shared,
             callers: address,
             nodes,
-            drained,
+            connections,
             _tasks: tasks,
         })
     }
@@ -94,45 +89,32 @@
         self.shared.ready()
     }
 
-    /// Stops accepting work and waits until all work has ended, for at most `times.drain_ms`.
+    /// Finishes all work, for at most `times.drain_ms`: the node is no longer ready, and each request
+    /// that it has read gets a response.
     ///
-    /// Returns whether all work ended in time.
+    /// Returns whether all work ended by itself.
     pub async fn drain(&self) -> bool {
         let shared = &self.shared;
         log::info!(
             "event=draining running={}",
             shared.running.load(Ordering::SeqCst)
         );
-        shared.draining.store(true, Ordering::SeqCst);
         shared.tables.members.lock().leave();
-        let timeout = Duration::from_millis(shared.settings.times.drain_ms);
-        let idle = tokio::time::timeout(timeout, async {
-            while !is_idle(shared) {
-                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            }
-        });
-        let complete = idle.await.is_ok();
-        tokio::time::sleep(DRAIN_LINGER).await;
+        let time = Duration::from_millis(shared.settings.times.drain_ms);
+        let remaining = Remaining {
+            shared,
+            connections: &self.connections,
+        };
+        let complete = shared.shutdown.run(&exit::schedule(time), &remaining).await;
         shared.tracing.flush();
-        self.drained.notify_waiters();
-        log::info!("event=drained whole={complete}");
+        log::info!(
+            "event=drained whole={complete} running={}",
+            shared.running.load(Ordering::SeqCst)
+        );
         complete
     }
 }
 
-/// Whether no request waits or runs, nothing is held at endpoints, and no record waits to be
-/// appended to the log.
-fn is_idle(shared: &Shared) -> bool {
-    let waiting: usize = {
-        let pools = shared.tables.pools.lock();
-        pools.values().map(|local| local.pool.waiting()).sum()
-    };
-    waiting == 0
-        && shared.running.load(Ordering::SeqCst) == 0
-        && shared.tables.ledger.lock().is_empty()
-        && shared.tables.outbox.len() == 0
-}
-
 fn start_tasks(
     tasks: &mut JoinSet<()>,
     shared: &Arc<Shared>,
--- a/crates/node/src/serve/attempt.rs
+++ b/crates/node/src/serve/attempt.rs
@@ -8,6 +8,7 @@
 use kernel::outcome::{Outcome, Refusal};
 use kernel::prelude::*;
 use kernel::schedule::Grant;
+use shutdown::Stage;
 use tokio::sync::mpsc;
 
 use super::forward::{better_domain, forward, other_domain};
@@ -40,6 +41,7 @@
     {
         return result;
     }
+    let sent = work.sent;
     let grant_result = tokio::select! {
         grant_result = wait_for_grant(shared, work, number, avoid) => grant_result,
         domain = wait_for_better_domain(shared, work) => {
@@ -47,6 +49,9 @@
             let spilled = spill(shared, work, &domain, sink).await;
             return spilled.unwrap_or(Err(Failure::Fault(Fault::Unreachable, None)));
         }
+        () = shared.shutdown.wait_until(Stage::Closing), if !sent => {
+            return Err(Failure::ShuttingDown);
+        }
     };
     match grant_result {
         Ok((grant, ticket)) => stream::run(shared, work, &grant, ticket, sink).await,
@@ -72,13 +77,14 @@
     domain: &Domain,
     sink: &mpsc::Sender<Item>,
 ) -> Option<Result<Usage, Failure>> {
+    let had_sent = std::mem::replace(&mut work.sent, true);
     let result = forward(shared, work, domain, sink).await;
     let not_run = match &result {
         Err(Failure::Refused(refusal)) => refusal.outcome() == Outcome::NotRun,
         Err(Failure::Fault(fault, _)) => *fault == Fault::Unreachable,
         _ => false,
     };
-    work.sent |= !not_run;
+    work.sent = had_sent || !not_run;
     if matches!(result, Err(Failure::Refused(_) | Failure::Fault(..))) {
         work.avoid_domains.push(domain.clone());
     }
--- a/crates/node/src/serve/mod.rs
+++ b/crates/node/src/serve/mod.rs
@@ -13,11 +13,12 @@
 use kernel::prelude::*;
 use kernel::request::{Attempt, Id};
 use kernel::schedule::Job;
+use shutdown::Stage;
 use tokio::sync::mpsc;
 
 use crate::shared::Shared;
 use crate::trace::Span;
-use crate::{invariant, observe};
+use crate::{exit, invariant, observe};
 
 pub(crate) use forward::serve_forward;
 
@@ -99,6 +100,8 @@
     Fault(Fault, Option<Endpoint>),
     /// The caller closed the item channel.
     CallerGone,
+    /// The node shuts down.
+    ShuttingDown,
 }
 
 impl From<endpoint::Error> for Failure {
@@ -138,8 +141,10 @@
         .saturating_sub(DEADLINE_MARGIN);
     let id = work.id;
     let result = tokio::select! {
+        biased;
         result = tokio::time::timeout(timeout, run_attempts(shared, &mut work, &sink)) => result,
         () = sink.closed() => Ok(Err(Failure::CallerGone)),
+        () = shared.shutdown.wait_until(Stage::Ending) => Ok(Err(Failure::ShuttingDown)),
     };
     let last = match result {
         Ok(Ok(usage)) => Item::End(usage),
@@ -148,6 +153,8 @@
             observe::count_request("caller_gone");
             return;
         }
+        Ok(Err(Failure::ShuttingDown)) if work.sent => Item::Refused(exit::interrupted()),
+        Ok(Err(Failure::ShuttingDown)) => Item::Refused(exit::not_run()),
         Ok(Err(Failure::Refused(refusal))) => Item::Refused(correct_outcome(refusal, work.sent)),
         Ok(Err(Failure::Fault(fault, _))) => {
             Item::Refused(Refusal::Exhausted(1, fault.as_str().to_owned()))
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use shutdown::Stage;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use volo::service::Service;
 use volo_http::body::Body;
@@ -23,6 +24,7 @@
 use volo_http::server::route::Router;
 
 use crate::connection::{Connection, Connections, Request, Watched};
+use crate::shared::Shared;
 
 /// Maximum buffer size of a connection, in bytes. The head of a request must fit into it.
 const MAX_BUFFER_BYTES: usize = 64 * 1_024;
@@ -32,6 +34,9 @@
 const LAST_RESPONSE_TIME: Duration = Duration::from_secs(5);
 /// The same for a connection that has had no request.
 const NO_RESPONSE_TIME: Duration = Duration::from_millis(50);
+/// Time for which a connection without a request stays open while the node shuts down, so that its first
+/// request gets a response.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(400);
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -40,22 +45,15 @@
     pub router: Router,
     pub max_headers: usize,
     pub connections: Arc<Connections>,
-    /// Notified when the node has drained, so that connections close.
-    pub drained: Arc<Notify>,
+    pub shared: Arc<Shared>,
 }
 
 impl Server {
-    /// Serves connections until the node has drained.
+    /// Serves connections until the task is aborted.
     pub async fn run(self, listener: TcpListener) {
         let server = Arc::new(self);
-        let drained = server.drained.notified();
-        tokio::pin!(drained);
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = &mut drained => return,
-            };
-            match accepted {
+            match listener.accept().await {
                 Ok((stream, address)) => {
                     if let Some(connection) = server.connections.admit() {
                         let server = Arc::clone(&server);
@@ -77,7 +75,6 @@
         address: SocketAddr,
         connection: Arc<Connection>,
     ) {
-        let drained = self.drained.notified();
         if stream.set_nodelay(true).is_err() {
             return connection.end();
         }
@@ -95,23 +92,29 @@
             .header_read_timeout(None)
             .serve_connection(TokioIo::new(watched), service);
         tokio::pin!(exchanges);
-        let has_ended = tokio::select! {
-            _ = exchanges.as_mut() => true,
-            () = connection.wait_until_closed(HEAD_TIME) => false,
-            () = drained => false,
+        let time = tokio::select! {
+            _ = exchanges.as_mut() => None,
+            () = connection.wait_until_closed(HEAD_TIME) => Some(LAST_RESPONSE_TIME),
+            // A request that is served now ends before the process does.
+            () = self.wait_until_closing(&connection) => Some(Duration::MAX),
         };
-        if !has_ended {
+        if let Some(time) = time {
             exchanges.as_mut().graceful_shutdown();
-            let time = if connection.has_served() {
-                LAST_RESPONSE_TIME
-            } else {
-                NO_RESPONSE_TIME
-            };
+            let has_served = connection.has_served();
+            let time = if has_served { time } else { NO_RESPONSE_TIME };
             let _ = timeout(time, exchanges).await;
         }
         connection.end();
     }
 
+    /// Returns when the connection must close because the node shuts down.
+    async fn wait_until_closing(&self, connection: &Connection) {
+        self.shared.shutdown.wait_until(Stage::Closing).await;
+        if !connection.has_served() {
+            sleep(FIRST_REQUEST_TIME).await;
+        }
+    }
+
     async fn respond(
         self: Arc<Self>,
         request: http::Request<Incoming>,
@@ -120,7 +123,11 @@
     ) -> Result<http::Response<TrackedBody>, Infallible> {
         let mut context = ServerContext::new(address.into());
         let request = request.map(Body::from_incoming);
-        let response = self.router.call(&mut context, request).await?;
+        let mut response = self.router.call(&mut context, request).await?;
+        if self.shared.shutdown.has_reached(Stage::Draining) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
         Ok(response.map(|body| TrackedBody {
             body,
             _running: running,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_trait::async_trait;
@@ -17,6 +17,7 @@
 use provider::{Hosts, HttpProvider, Log, Weights};
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
+use shutdown::{Shutdown, Stage};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use wire::stream::Socket;
@@ -161,7 +162,7 @@
     pub tracing: Tracing,
     /// Memory for bodies of requests.
     pub bodies: Buffers,
-    pub draining: AtomicBool,
+    pub shutdown: Shutdown,
     /// Number of running requests, see [`Running`].
     pub running: AtomicUsize,
     /// Wakes the task that frees endpoint memory.
@@ -195,7 +196,7 @@
             peers,
             tracing,
             bodies: Buffers::new(settings.resources.body_bytes()),
-            draining: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
             running: AtomicUsize::new(0),
             free_notify: Notify::new(),
             grant_notify: Notify::new(),
@@ -242,7 +243,7 @@
 
     /// Whether the node accepts work: it is not draining and has both lists.
     pub fn ready(&self) -> bool {
-        !self.draining.load(Ordering::SeqCst) && self.tables.fold.lock().state().is_complete()
+        !self.shutdown.has_reached(Stage::Draining) && self.tables.fold.lock().state().is_complete()
     }
 }
 
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -5,6 +5,7 @@
 use kernel::journal::Entry;
 use kernel::request::Id;
 use serde_json::{Value, json};
+use shutdown::Stage;
 use wire::Frame;
 
 use crate::peer;
@@ -56,7 +57,7 @@
         "domain": shared.domain,
         "incarnation": shared.incarnation.to_string(),
         "ready": shared.ready(),
-        "draining": shared.draining.load(Ordering::SeqCst),
+        "draining": shared.shutdown.has_reached(Stage::Draining),
         "running": shared.running.load(Ordering::SeqCst),
         "plans_version": plans,
         "usage_version": usage,
