Refuse late requests at a node that exits, whatever they wait for

Callers saw: at a node that exits, a body that did not end was closed without a response; a prompt whose body ended late was sent to an engine and ended with 502; a deferred prompt got 202 from a node that could no longer run it, and was lost where no other node had a copy.

Cause: only the wait for an engine knew of the exit. Reading a body, the wait for a loan of a limit and the acceptance of deferred requests did not.

Change: in the closing stage, each of them ends with a refusal as not run.

--- a/bin/filbertstage/tests/node_exit.rs
+++ b/bin/filbertstage/tests/node_exit.rs
@@ -14,6 +14,7 @@
 
 /// Maximum duration of a drain.
 const DRAIN: Duration = Duration::from_secs(2);
+const COMPLETIONS: &str = "/v1/completions";
 /// Time in which a request reaches its state.
 const SETTLING: Duration = Duration::from_millis(300);
 
@@ -78,10 +79,15 @@
 impl Client {
     /// Sends the head and the first `sent` bytes of the body.
     fn send_part(address: SocketAddr, path: &str, body: &str, sent: usize) -> Self {
+        Self::send_with(address, path, "", body, sent)
+    }
+
+    /// Like [`Client::send_part`], with further headers.
+    fn send_with(address: SocketAddr, path: &str, headers: &str, body: &str, sent: usize) -> Self {
         let mut stream = TcpStream::connect_timeout(&address, GUARD).expect("a connection");
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {KEY}\r\nidempotency-key: key-1\r\n\
-             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+             {headers}content-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
         );
         let bytes = [head.as_bytes(), &body.as_bytes()[..sent]].concat();
@@ -104,7 +110,7 @@
     }
 
     fn complete(address: SocketAddr, tokens: u32, stream: bool) -> Self {
-        Self::send(address, "/v1/completions", &completion(tokens, stream))
+        Self::send(address, COMPLETIONS, &completion(tokens, stream))
     }
 
     /// Waits until the connection has ended; `None` if it ended without a response.
@@ -210,3 +216,43 @@
     assert!(took < DRAIN / 2, "the exit took {took:?}");
     assert_eq!(client.reply().map(|reply| reply.status), Some(200));
 }
+
+/// Guards against a request whose body does not end before the node exits, and is closed without a
+/// response.
+#[test]
+fn a_request_whose_body_arrives_late_is_refused() {
+    let mut site = Site::start(&slow_plan());
+    let body = completion(LONG, false);
+    let mut late = Client::send_part(site.callers, COMPLETIONS, &body, 10);
+    let stopped = Client::send_part(site.callers, COMPLETIONS, &body, 10);
+    thread::sleep(SETTLING);
+    let started = Instant::now();
+    site.signal("TERM");
+    thread::sleep(DRAIN / 2 + SETTLING);
+    // The refusal may have closed the connection.
+    let _ = late.stream.write_all(&body.as_bytes()[10..]);
+    for client in [late, stopped] {
+        let reply = client.reply().expect("a response");
+        assert_eq!((reply.status, reply.outcome()), (503, json!("not_run")));
+        let waited = reply.received - started;
+        assert!(waited < DRAIN * 3 / 4, "refused after {waited:?}");
+    }
+    assert_eq!(site.wait_for_exit(), Some(0));
+}
+
+/// Guards against a deferred request that is accepted by a node which can no longer run it.
+#[test]
+fn a_deferred_request_that_arrives_late_is_refused() {
+    let mut site = Site::start(&slow_plan());
+    let running = Client::complete(site.callers, LONG, false);
+    thread::sleep(SETTLING);
+    site.signal("TERM");
+    thread::sleep(DRAIN / 2 + Duration::from_millis(50));
+    let headers = "prefer: respond-async\r\n";
+    let body = completion(LONG, false);
+    let deferred = Client::send_with(site.callers, COMPLETIONS, headers, &body, body.len());
+    let reply = deferred.reply().expect("a response");
+    assert_eq!((reply.status, reply.outcome()), (503, json!("not_run")));
+    assert_eq!(running.reply().map(|reply| reply.status), Some(502));
+    assert_eq!(site.wait_for_exit(), Some(1));
+}
--- a/crates/node/src/api/complete.rs
+++ b/crates/node/src/api/complete.rs
@@ -22,7 +22,7 @@
 use super::{HandlerResult, auth, error, json_response, prompt, read_body};
 use crate::serve::{self, Work};
 use crate::shared::{Running, Shared};
-use crate::{deferred, limits};
+use crate::{deferred, exit, limits};
 
 /// Handles `/v1/chat/completions`.
 pub(super) async fn chat(shared: Arc<Shared>, request: Request) -> HandlerResult {
@@ -51,7 +51,8 @@
     let cost = Cost {
         tokens: admitted.prompt_tokens + prompt.answer_tokens,
     };
-    let permit = limits::acquire(&shared, &caller.workspace, cost).await;
+    let permit = limits::acquire(&shared, &caller.workspace, cost);
+    let permit = exit::unless_closing(&shared, permit).await;
     let permit = permit.inspect_err(|refusal| {
         shared.record(id, refusal.code(), refusal.to_string());
     })?;
--- a/crates/node/src/api/service.rs
+++ b/crates/node/src/api/service.rs
@@ -13,9 +13,8 @@
 
 use super::{HandlerResult, auth, error, read_body, text_response};
 use crate::call::{self, Call};
-use crate::limits;
-use crate::observe;
 use crate::shared::{Running, Shared};
+use crate::{exit, limits, observe};
 
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 256;
@@ -51,7 +50,8 @@
     let body = String::from_utf8(body).map_err(|_| {
         Refusal::Invalid("the body is not text".to_owned(), "send UTF-8".to_owned())
     })?;
-    let permit = limits::acquire(&shared, &caller.workspace, Cost { tokens: 0 }).await?;
+    let permit = limits::acquire(&shared, &caller.workspace, Cost { tokens: 0 });
+    let permit = exit::unless_closing(&shared, permit).await?;
     let call = Call {
         id,
         workspace: caller.workspace,
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kernel::outcome::Refusal;
-use shutdown::{RETRY_AFTER, Schedule, Work};
+use shutdown::{RETRY_AFTER, Schedule, Stage, Work};
 
 use crate::connection::Connections;
 use crate::shared::Shared;
@@ -34,6 +34,18 @@
     Refusal::Unavailable("the node shuts down".to_owned(), RETRY_AFTER)
 }
 
+/// Waits for `result`, or refuses the request, of which nothing was sent, once it can no longer run here.
+pub(crate) async fn unless_closing<T>(
+    shared: &Shared,
+    result: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        () = shared.shutdown.wait_until(Stage::Closing) => Err(not_run()),
+        result = result => result,
+    }
+}
+
 /// The refusal of a request that was sent to an endpoint, and may be sent again.
 pub(crate) fn interrupted() -> Refusal {
     Refusal::Exhausted(1, "the node shuts down".to_owned())
--- a/crates/node/src/serve/attempt.rs
+++ b/crates/node/src/serve/attempt.rs
@@ -35,13 +35,16 @@
     avoid: &[Endpoint],
     sink: &mpsc::Sender<Item>,
 ) -> Result<Usage, Failure> {
+    let sent = work.sent;
+    if !sent && shared.shutdown.has_reached(Stage::Closing) {
+        return Err(Failure::ShuttingDown);
+    }
     if !work.forwarded
         && let Some(domain) = better_domain(shared, work)
         && let Some(result) = spill(shared, work, &domain, sink).await
     {
         return result;
     }
-    let sent = work.sent;
     let grant_result = tokio::select! {
         grant_result = wait_for_grant(shared, work, number, avoid) => grant_result,
         domain = wait_for_better_domain(shared, work) => {
