Give each call a response before a node exits

Callers saw: a call that ran, or waited for its claim, when its node exited was closed without a response. A caller whose call runs once could not tell that it has to ask for the outcome under the same key.

Change: in the closing stage, a call that was not sent is refused as not run, and its claim is abandoned on the log. In the ending stage, a call that was sent ends as `unknown` and keeps its claim, or as `failed` if it may be repeated.

--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -68,6 +68,8 @@
     pub collector: Option<SocketAddr>,
     /// How long an idempotency key stays recorded.
     pub claim_window: Duration,
+    /// Maximum duration of a drain.
+    pub drain: Duration,
 }
 
 impl Plan {
@@ -96,6 +98,7 @@
             concurrency: 100_000,
             collector: None,
             claim_window: Duration::from_hours(1),
+            drain: Duration::from_mins(1),
         }
     }
 
@@ -222,7 +225,7 @@
         settings.trace.collector = self.plan.collector;
         settings.times.claim_window_ms =
             u64::try_from(self.plan.claim_window.as_millis()).unwrap_or(u64::MAX);
-        settings.times.drain_ms = 60_000;
+        settings.times.drain_ms = u64::try_from(self.plan.drain.as_millis()).unwrap_or(u64::MAX);
         settings
     }
 
--- a/bin/filbertctl/tests/suite/calls.rs
+++ b/bin/filbertctl/tests/suite/calls.rs
@@ -1,10 +1,11 @@
 //! Service calls that cannot be repeated safely run at most once.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fakes::{log, service};
 use filbertctl::caller::{self, End};
-use filbertctl::fleet::{self, BOOKING_CALL, CONDITIONS_CALL, Fleet, SERVICE};
+use filbertctl::fleet::{self, BOOKING_CALL, CONDITIONS_CALL, Fleet, Member, Plan, SERVICE};
 use http::Method;
 use rstest::rstest;
 
@@ -20,8 +21,12 @@
 
 async fn book(fleet: &Fleet, node: usize, key: &str, limit: Duration) -> (End, String) {
     let addresses = fleet.caller_addresses();
+    book_at(addresses[node % addresses.len()], key, limit).await
+}
+
+async fn book_at(address: SocketAddr, key: &str, limit: Duration) -> (End, String) {
     caller::call(
-        addresses[node % addresses.len()],
+        address,
         &fleet::workspace_key(0),
         &booking_path(),
         key,
@@ -199,3 +204,57 @@
     .await;
     assert_eq!(end, End::Whole, "{body}");
 }
+
+/// Starts a fleet whose service answers after `delay`. The second domain has no workers and forwards its
+/// calls.
+async fn slow_booking_fleet(delay: Duration, drain: Duration) -> Fleet {
+    let mut plan = Plan::new(&[("charnwood", 2, 1, 1), ("cannock", 1, 1, 0)], 4);
+    plan.drain = drain;
+    let fleet = Fleet::start(plan).await.expect("the fleet starts");
+    fleet.service.inject(service::Faults {
+        delay,
+        ..service::Faults::default()
+    });
+    fleet
+}
+
+/// Drains the node at `index` after `delay`, and returns whether its work ended by itself.
+async fn drain_after(member: Option<Member>, delay: Duration) -> bool {
+    tokio::time::sleep(delay).await;
+    member.expect("a running node").drain().await
+}
+
+/// Guards against a call that runs once and is closed without a response when its node exits, or runs again
+/// at another node.
+#[tokio::test]
+async fn a_call_that_runs_when_its_node_exits_stays_unknown() {
+    let mut fleet = slow_booking_fleet(Duration::from_secs(6), Duration::from_secs(1)).await;
+    let leaving = fleet.nodes[0].take();
+    let address = leaving.as_ref().expect("a node").caller_address();
+    let (first, drained) = tokio::join!(
+        book_at(address, "gate-7", TIME_LIMIT),
+        drain_after(leaving, Duration::from_millis(500)),
+    );
+    assert_eq!((first.0, drained), (End::Unknown, false), "{}", first.1);
+    let (second, body) = book(&fleet, 0, "gate-7", Duration::from_secs(2)).await;
+    assert_eq!(second, End::Unknown, "{body}");
+    assert_eq!(execution_count(&fleet, "gate-7"), 1);
+}
+
+/// Guards against a call that nothing was sent of when its node exits, and is closed without a response.
+#[tokio::test]
+async fn a_call_that_waits_when_its_node_exits_is_not_run() {
+    let mut fleet = slow_booking_fleet(Duration::ZERO, Duration::from_secs(1)).await;
+    fleet.platform.log.inject(log::Faults {
+        delay: Duration::from_secs(5),
+        ..log::Faults::default()
+    });
+    let leaving = fleet.nodes[0].take();
+    let address = leaving.as_ref().expect("a node").caller_address();
+    let (first, _) = tokio::join!(
+        book_at(address, "gate-8", TIME_LIMIT),
+        drain_after(leaving, Duration::from_millis(200)),
+    );
+    assert_eq!(first.0, End::NotRun, "{}", first.1);
+    assert_eq!(execution_count(&fleet, "gate-8"), 0);
+}
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -9,11 +9,12 @@
 use kernel::prelude::*;
 use kernel::request::{Attempt, Id};
 use sha2::{Digest, Sha256};
+use shutdown::Stage;
 use wire::Frame;
 
 use crate::claims::AppendOutcome;
 use crate::shared::Shared;
-use crate::{follow, invariant, peer};
+use crate::{exit, follow, invariant, peer};
 
 /// Longest time between two checks of a claim that another attempt holds.
 const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -57,6 +58,9 @@
 /// Makes a call in this failure domain, or forwards it to another one if the service has no
 /// endpoints here, and returns the service's answer.
 pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Result<Answer, Refusal> {
+    if shared.shutdown.has_reached(Stage::Closing) {
+        return Err(exit::not_run());
+    }
     let lists = shared.tables.lists();
     let Some(entry) = lists.call(&call.service, &call.name) else {
         let what = format!(
@@ -146,13 +150,11 @@
     };
     let sent = connection.send(&Frame::Call(Box::new(frame))).await;
     sent.map_err(|_| unanswered())?;
-    match connection
-        .receive(remaining.saturating_sub(DEADLINE_MARGIN))
-        .await
-    {
-        Ok(Frame::Answer(status, body)) => Ok(Answer { status, body }),
-        Ok(Frame::Refused(refusal)) => Err(refusal),
-        Ok(_) | Err(_) => Err(unanswered()),
+    let response = connection.receive(remaining.saturating_sub(DEADLINE_MARGIN));
+    match exit::until_ending(shared, response).await {
+        Some(Ok(Frame::Answer(status, body))) => Ok(Answer { status, body }),
+        Some(Ok(Frame::Refused(refusal))) => Err(refusal),
+        Some(Ok(_) | Err(_)) | None => Err(unanswered()),
     }
 }
 
@@ -198,9 +200,13 @@
         let timeout = left.div_f64(f64::from(u32::try_from(attempts - number).unwrap_or(1)));
         let service = &services[(first + number) % services.len()];
         let body = bytes::Bytes::from(call.body.clone());
-        match service.call(&call.name, &call.key, body, timeout).await {
-            Ok(answer) if answer.status < 500 => return Ok(answer),
-            Ok(_) | Err(_) => shared.record(call.id, "call_failed", format!("number={number}")),
+        let answer = service.call(&call.name, &call.key, body, timeout);
+        match exit::until_ending(shared, answer).await {
+            Some(Ok(answer)) if answer.status < 500 => return Ok(answer),
+            None => return Err(exit::interrupted()),
+            Some(Ok(_) | Err(_)) => {
+                shared.record(call.id, "call_failed", format!("number={number}"));
+            }
         }
     }
     let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
@@ -224,7 +230,8 @@
         ));
     }
     let deadline = tokio::time::Instant::now() + remaining(shared, call);
-    if !follow::wait_until_claims_fresh(shared, deadline).await {
+    let fresh = async { Ok(follow::wait_until_claims_fresh(shared, deadline).await) };
+    if !exit::unless_closing(shared, fresh).await? {
         let what = "the log cannot be read, and the call may not run without it".to_owned();
         return Err(Refusal::Unavailable(what, LOG_RETRY_AFTER));
     }
@@ -264,24 +271,32 @@
     shared.record(call.id, "claiming", format!("key={key}"));
     let deadline = tokio::time::Instant::now() + CLAIM_READ_TIMEOUT.min(left);
     let outcome = shared.tables.outbox.append_once(record);
-    let outcome = tokio::time::timeout_at(deadline, outcome).await;
-    if matches!(outcome, Ok(Ok(AppendOutcome::MaybeWritten)))
-        && follow::wait_for_claim(shared, key, &call.body_digest(), attempt, deadline).await
-    {
-        return Ok(());
-    }
+    let claimed = async {
+        let outcome = tokio::time::timeout_at(deadline, outcome).await;
+        let digest = call.body_digest();
+        Ok(matches!(outcome, Ok(Ok(AppendOutcome::MaybeWritten)))
+            && follow::wait_for_claim(shared, key, &digest, attempt, deadline).await)
+    };
+    let refusal = match exit::unless_closing(shared, claimed).await {
+        Ok(true) => return Ok(()),
+        Ok(false) => {
+            let what = "the claim could not be written to the log".to_owned();
+            Refusal::Unavailable(what, LOG_RETRY_AFTER)
+        }
+        Err(refusal) => refusal,
+    };
     // The call is not sent. The claim may still be on the log, so it is abandoned.
     shared.tables.outbox.append_with_retry(Record::Abandon {
         key: key.to_owned(),
         attempt,
     });
-    let what = "the claim could not be written to the log".to_owned();
-    Err(Refusal::Unavailable(what, LOG_RETRY_AFTER))
+    Err(refusal)
 }
 
 /// Waits while another attempt runs under the key, and returns the verdict on `attempt`.
 ///
-/// Returns `Unknown` at the call's deadline, because the other attempt may have run.
+/// Returns `Unknown` at the call's deadline, or shortly before the node exits, because the other attempt may
+/// have run.
 async fn wait_for_verdict(
     shared: &Arc<Shared>,
     call: &Call,
@@ -308,8 +323,8 @@
             verdict => return Ok(verdict),
         }
         let until = deadline.min(tokio::time::Instant::now() + CLAIM_POLL_INTERVAL);
-        let _ = tokio::time::timeout_at(until, notified).await;
-        if tokio::time::Instant::now() >= deadline {
+        let notified = exit::until_ending(shared, tokio::time::timeout_at(until, notified)).await;
+        if notified.is_none() || tokio::time::Instant::now() >= deadline {
             return Ok(Verdict::Unknown);
         }
     }
@@ -343,13 +358,15 @@
     let first = usize::try_from(call.id.sequence).unwrap_or(0);
     for number in 0..services.len() {
         let left = remaining(shared, call);
-        if left.is_zero() {
+        if left.is_zero() || shared.shutdown.has_reached(Stage::Closing) {
             break;
         }
         check_won(shared, call, key, attempt);
         let service = &services[(first + number) % services.len()];
         let body = bytes::Bytes::from(call.body.clone());
-        match service.call(&call.name, &call.key, body, left).await {
+        let answer = service.call(&call.name, &call.key, body, left);
+        let answer = exit::until_ending(shared, answer).await;
+        match answer.unwrap_or(Err(CallError::Uncertain)) {
             Ok(answer) => {
                 shared.tables.outbox.append_with_retry(Record::Outcome {
                     key: key.to_owned(),
@@ -371,6 +388,9 @@
         key: key.to_owned(),
         attempt,
     });
+    if shared.shutdown.has_reached(Stage::Closing) {
+        return Err(exit::not_run());
+    }
     let what = format!(
         "no endpoint of service {:?} can be reached",
         call.service.as_str()
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -46,6 +46,18 @@
     }
 }
 
+/// Waits for `response`; `None` if the request is to get its final response before.
+pub(crate) async fn until_ending<T>(
+    shared: &Shared,
+    response: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        response = response => Some(response),
+        () = shared.shutdown.wait_until(Stage::Ending) => None,
+    }
+}
+
 /// The refusal of a request that was sent to an endpoint, and may be sent again.
 pub(crate) fn interrupted() -> Refusal {
     Refusal::Exhausted(1, "the node shuts down".to_owned())
