Finish the requests of other nodes before a node exits

Callers saw: a call that their node had handed to a node of another domain ended as `unknown`, though the service answered within the drain of that node.

Cause: only requests of a node's own callers, and completions, counted as running. A call for another node did not, so the node exited after 0.2 s in the middle of it.

Change: each request of another node counts until its response is written.

Measured: calls.rs, `a_forwarded_call_ends_before_its_node_exits` failed before with `unknown` and passes.

--- a/bin/filbertctl/tests/suite/calls.rs
+++ b/bin/filbertctl/tests/suite/calls.rs
@@ -258,3 +258,22 @@
     assert_eq!(first.0, End::NotRun, "{}", first.1);
     assert_eq!(execution_count(&fleet, "gate-8"), 0);
 }
+
+/// Guards against a node that exits while it makes a call for another node.
+#[tokio::test]
+async fn a_forwarded_call_ends_before_its_node_exits() {
+    let mut fleet = slow_booking_fleet(Duration::from_secs(1), Duration::from_mins(1)).await;
+    fleet.kill(1);
+    fleet.publish_hosts();
+    let leaving = fleet.nodes[0].take();
+    let (forwarded, drained) = tokio::join!(
+        book(&fleet, 0, "gate-9", TIME_LIMIT),
+        drain_after(leaving, Duration::from_millis(300)),
+    );
+    assert_eq!(
+        (forwarded.0, drained),
+        (End::Whole, true),
+        "{}",
+        forwarded.1
+    );
+}
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -81,6 +81,7 @@
         };
         waiting == 0
             && self.shared.running.load(Ordering::SeqCst) == 0
+            && self.shared.exchanges.load(Ordering::SeqCst) == 0
             && tables.ledger.lock().is_empty()
             && tables.outbox.len() == 0
     }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -15,7 +15,7 @@
 use wire::{Error, Frame};
 
 use crate::connection::Connections;
-use crate::shared::{Network, Shared};
+use crate::shared::{Exchange, Network, Shared};
 use crate::{call, connection, deferred, dispatch, limits, serve, status};
 
 /// Time limit for opening a connection.
@@ -162,9 +162,13 @@
         let next = match frame {
             Frame::Ticket(job) => dispatch::serve_ticket(&shared, &mut connection, *job).await,
             Frame::Forward(forward) => {
+                let _exchange = Exchange::start(&shared);
                 serve::serve_forward(&shared, &mut connection, *forward).await
             }
-            frame => handle_frame(&shared, &mut connection, frame).await,
+            frame => {
+                let _exchange = Exchange::start(&shared);
+                handle_frame(&shared, &mut connection, frame).await
+            }
         };
         if next.is_err() {
             return;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -165,6 +165,8 @@
     pub shutdown: Shutdown,
     /// Number of running requests, see [`Running`].
     pub running: AtomicUsize,
+    /// Number of requests of other nodes whose response is not written, see [`Exchange`].
+    pub exchanges: AtomicUsize,
     /// Wakes the task that frees endpoint memory.
     pub free_notify: Notify,
     /// Wakes the task that grants engines.
@@ -198,6 +200,7 @@
             bodies: Buffers::new(settings.resources.body_bytes()),
             shutdown: Shutdown::default(),
             running: AtomicUsize::new(0),
+            exchanges: AtomicUsize::new(0),
             free_notify: Notify::new(),
             grant_notify: Notify::new(),
             claims_notify: Notify::new(),
@@ -266,5 +269,21 @@
     }
 }
 
+/// A request of another node that is being answered; counted until it is dropped.
+pub(crate) struct Exchange<'a>(&'a Shared);
+
+impl<'a> Exchange<'a> {
+    pub fn start(shared: &'a Shared) -> Self {
+        shared.exchanges.fetch_add(1, Ordering::SeqCst);
+        Self(shared)
+    }
+}
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        self.0.exchanges.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// The journal of decisions, with its lock.
 pub(crate) type SharedJournal = Mutex<Journal>;
