Append outcomes to the log before a node exits

Callers saw: a call that runs once was answered, its node exited, and the same key at another node got `unknown` and not the recorded answer.

Cause: the outbox of records for the log did not count the batch that is being appended, so a node that drained took itself for idle and exited in the middle of the append.

Change: the outbox is empty only when nothing is being appended.

Measured: calls.rs, `an_outcome_is_appended_before_its_node_exits` failed before (log with 400 ms of delay) and passes.

--- a/bin/filbertctl/tests/suite/calls.rs
+++ b/bin/filbertctl/tests/suite/calls.rs
@@ -277,3 +277,18 @@
         forwarded.1
     );
 }
+
+/// Guards against an outcome that is lost because its node exits while it is appended to the log.
+#[tokio::test]
+async fn an_outcome_is_appended_before_its_node_exits() {
+    let mut fleet = slow_booking_fleet(Duration::ZERO, Duration::from_mins(1)).await;
+    fleet.platform.log.inject(log::Faults {
+        delay: Duration::from_millis(400),
+        ..log::Faults::default()
+    });
+    let first = book(&fleet, 0, "gate-10", TIME_LIMIT).await;
+    assert_eq!(first.0, End::Whole, "{}", first.1);
+    assert!(fleet.drain(0).await);
+    let again = book(&fleet, 0, "gate-10", TIME_LIMIT).await;
+    assert_eq!(again, first, "a later caller gets the recorded answer");
+}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -1,6 +1,7 @@
 //! Appends records to the claims stream of the log, in batches.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use kernel::claim::Record;
@@ -40,6 +41,8 @@
 #[derive(Default)]
 pub(crate) struct Outbox {
     entries: Mutex<Vec<Entry>>,
+    /// Number of entries in the batch that is being appended.
+    appending: AtomicUsize,
     added: Notify,
 }
 
@@ -63,15 +66,21 @@
         self.added.notify_one();
     }
 
-    /// Number of records that wait to be appended.
-    pub fn len(&self) -> usize {
-        self.entries.lock().len()
+    /// Whether no record waits to be appended or is being appended.
+    pub fn is_empty(&self) -> bool {
+        let entries = self.entries.lock();
+        entries.is_empty() && self.appending.load(Ordering::SeqCst) == 0
+    }
+
+    fn has_waiting(&self) -> bool {
+        !self.entries.lock().is_empty()
     }
 
     /// Removes the oldest records, up to the size of a batch.
     fn take_batch(&self) -> Vec<Entry> {
         let mut entries = self.entries.lock();
         let count = entries.len().min(MAX_BATCH_RECORDS);
+        self.appending.store(count, Ordering::SeqCst);
         entries.drain(..count).collect()
     }
 }
@@ -79,7 +88,7 @@
 /// Appends the records of the outbox. Never returns.
 pub(crate) async fn run(shared: Arc<Shared>, outbox: Arc<Outbox>) {
     loop {
-        if outbox.len() == 0 {
+        if !outbox.has_waiting() {
             outbox.added.notified().await;
             tokio::time::sleep(BATCH_WINDOW).await;
         }
@@ -115,5 +124,7 @@
             None => {}
         }
     }
-    outbox.entries.lock().splice(..0, retries);
+    let mut entries = outbox.entries.lock();
+    entries.splice(..0, retries);
+    outbox.appending.store(0, Ordering::SeqCst);
 }
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -83,7 +83,7 @@
             && self.shared.running.load(Ordering::SeqCst) == 0
             && self.shared.exchanges.load(Ordering::SeqCst) == 0
             && tables.ledger.lock().is_empty()
-            && tables.outbox.len() == 0
+            && tables.outbox.is_empty()
     }
 
     fn is_finished(&self) -> bool {
