Refuse requests that the quarantine holds when a host exits

Callers saw: a call that the quarantine held at a host that exits was sent to an endpoint after the host had stopped to send others, crashed it and ended with 502, where a refusal as not run was due.

Cause: of the waits of a request, only that for an engine ended in the closing stage. The hold between two runs of a suspect request did not, nor did another attempt of a call of which nothing had been sent.

Change: both give the request up as shutting down while nothing of it was sent.

Measured: platform/tests/shutdown.rs, `a_request_that_the_quarantine_holds_is_refused` failed before for calls (502, 2 runs) and passed for streams, which wait for an engine afterwards; both pass.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -103,6 +103,12 @@
         self.sent
     }
 
+    /// Whether nothing of the request has been sent.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        self.sent == 0 && !self.maybe_ran
+    }
+
     /// Number of times that the request may still run.
     #[must_use]
     pub const fn runs_left(&self) -> u32 {
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -181,15 +181,29 @@
         self.links.peers.lock().record_failure(host, now);
     }
 
+    /// Returns when a request of which nothing was sent is refused, because the host shuts down.
+    pub(crate) async fn wait_until_closing(&self, attempts: &Attempts) {
+        if !attempts.is_unsent() {
+            std::future::pending::<()>().await;
+        }
+        self.shutdown.wait_until(Stage::Closing).await;
+    }
+
     /// Decides whether a request may be sent, or sent once more after an endpoint crashed on it.
-    pub(crate) async fn admit(&self, accepted: &Accepted) -> Result<Admission, GiveUp> {
+    pub(crate) async fn admit(
+        &self,
+        accepted: &Accepted,
+        attempts: &Attempts,
+    ) -> Result<Admission, GiveUp> {
         let endpoints = self.registry.count_ready(&accepted.service).max(1);
         let hold = SUSPECT_INTERVAL / u32::try_from(endpoints).unwrap_or(u32::MAX);
         let (id, suspects) = (accepted.id(), &accepted.suspects);
-        let admitted = self
-            .quarantine
-            .admit(id, suspects, hold, accepted.deadline)
-            .await;
+        let admitted = self.quarantine.admit(id, suspects, hold, accepted.deadline);
+        let admitted = tokio::select! {
+            biased;
+            () = self.wait_until_closing(attempts) => return Err(GiveUp::ShuttingDown),
+            admitted = admitted => admitted,
+        };
         admitted.map_err(|wait| {
             self.quarantine.log_refusal(id, suspects);
             GiveUp::Quarantined(wait)
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -11,6 +11,7 @@
 use kernel::outlier::Observation;
 use kernel::quarantine::Suspect;
 use rand::Rng;
+use shutdown::Stage;
 use tokio::time::timeout;
 
 use crate::accepted::Accepted;
@@ -95,11 +96,14 @@
     attempts: &mut Attempts,
 ) -> Response<Body> {
     let mut last_failure = None;
-    let mut admitted = pipeline.admit(accepted).await;
+    let mut admitted = pipeline.admit(accepted, attempts).await;
     let give_up = loop {
         if pipeline.clock.now() >= accepted.deadline {
             break GiveUp::Expired;
         }
+        if attempts.is_unsent() && pipeline.shutdown.has_reached(Stage::Closing) {
+            break GiveUp::ShuttingDown;
+        }
         // Over links that are lost, an attempt would be wasted.
         let detoured = if attempts.has_failed() {
             pipeline.detour_at_end(accepted, attempts).await
@@ -156,7 +160,7 @@
             Outcome::Broken(_) => {
                 attempts.record_run(endpoint);
                 if has_crashed(pipeline, accepted, &entry, began).await {
-                    admitted = pipeline.admit(accepted).await;
+                    admitted = pipeline.admit(accepted, attempts).await;
                 }
             }
             Outcome::NoRoom | Outcome::Uncertain(_) => attempts.record_run(endpoint),
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -93,7 +93,7 @@
         .metadata
         .tokens
         .unwrap_or((0, u64::from(profile.stride)));
-    let admission = match pipeline.admit(&accepted).await {
+    let admission = match pipeline.admit(&accepted, attempts).await {
         Ok(admission) => admission,
         Err(give_up) => {
             accepted.log_give_up(attempts, give_up, pipeline.clock.now());
@@ -162,7 +162,7 @@
                 break GiveUp::Exhausted;
             }
             if std::mem::take(&mut self.engine_crashed) {
-                match self.pipeline.admit(&self.accepted).await {
+                match self.pipeline.admit(&self.accepted, &self.attempts).await {
                     Ok(admission) => self.admission = admission,
                     Err(give_up) => break give_up,
                 }
