Read the settings of a node again at SIGHUP

Cause: only `filbertstage route` handles the signal; for a node its default action was left, which ends the process.

Change: a node reads its settings again. `log.level` and `times.drain_ms` are taken over; the line `event=reload` names the keys that need a restart, also that of hosts. Settings with an error change nothing.

Measured: node_exit.rs, `sighup_cuts_nothing` and `sighup_takes_over_what_can_change_while_running` failed before, since the node was gone, and pass.

--- a/bin/filbertstage/src/cmd/mod.rs
+++ b/bin/filbertstage/src/cmd/mod.rs
@@ -39,6 +39,10 @@
   2  the command line is invalid
   3  the settings are invalid
 
+Signals:
+  SIGTERM, SIGINT  Drain
+  SIGHUP           Read the settings again. A node takes over log.level and times.drain_ms
+
 See docs/settings.md for every key.
 ";
 
@@ -65,9 +69,8 @@
 const SETTINGS_ENV: &str = "FILBERTSTAGE_CONFIG";
 
 /// Installs the logger, which writes to standard output. A slow reader of the output does not block
-/// the process. An unknown `level` counts as `info`.
+/// the process.
 pub fn install_logger(level: &str) {
-    let level = level.parse().unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .add_filter_allow_str("filbertstage")
@@ -80,7 +83,13 @@
         }
     };
     // Fails only if a logger is already installed; this process installs no other.
-    let _ = WriteLogger::init(level, config, writer);
+    let _ = WriteLogger::init(LevelFilter::Trace, config, writer);
+    set_log_level(level);
+}
+
+/// Sets the lowest level that is logged. An unknown `level` counts as `info`.
+pub fn set_log_level(level: &str) {
+    log::set_max_level(level.parse().unwrap_or(LevelFilter::Info));
 }
 
 impl Command {
--- a/bin/filbertstage/src/cmd/route.rs
+++ b/bin/filbertstage/src/cmd/route.rs
@@ -62,7 +62,10 @@
 fn report_reload(file: &Path, running: &Settings) {
     match check::read_settings(file, Settings::read) {
         Ok(settings) if settings == *running => log::info!("event=reload changed=false"),
-        Ok(_) => log::warn!("event=reload changed=true remedy=\"restart the host to apply\""),
+        Ok(settings) => log::warn!(
+            "event=reload changed=true restart={} remedy=\"restart the host to apply\"",
+            settings::changed_keys(running, &settings).join(",")
+        ),
         Err(_) => log::warn!("event=reload outcome=kept remedy=\"correct the settings\""),
     }
 }
--- a/bin/filbertstage/src/cmd/serve.rs
+++ b/bin/filbertstage/src/cmd/serve.rs
@@ -7,9 +7,10 @@
 use node::{Dependencies, Node};
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::{EXIT_FAILED, check, install_logger};
+use super::{EXIT_FAILED, check, install_logger, set_log_level};
 
-/// Runs a node with the settings in `file`, drains the node at the end and returns the exit code.
+/// Runs a node with the settings in `file`, drains the node at the end and returns the exit code. SIGHUP
+/// reads the settings again.
 pub fn run(file: &Path) -> ExitCode {
     let settings = match check::read_settings(file, Settings::read) {
         Ok(settings) => settings,
@@ -23,7 +24,7 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    let outcome = runtime.block_on(serve(settings));
+    let outcome = runtime.block_on(serve(file, settings));
     runtime.shutdown_background();
     match outcome {
         Ok(true) => ExitCode::SUCCESS,
@@ -35,14 +36,37 @@
     }
 }
 
-async fn serve(settings: Settings) -> std::io::Result<bool> {
+async fn serve(file: &Path, settings: Settings) -> std::io::Result<bool> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let dependencies = Dependencies::from_settings(&settings);
     let node = Node::start(settings, dependencies).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(file, &node),
+        }
     }
     Ok(node.drain().await)
 }
+
+/// Reads the settings again. Settings with an error change nothing.
+fn reload(file: &Path, node: &Node) {
+    let Ok(settings) = check::read_settings(file, Settings::read) else {
+        log::warn!("event=reload outcome=kept remedy=\"correct the settings\"");
+        return;
+    };
+    let changes = node.reload(&settings);
+    set_log_level(&settings.log.level);
+    let (applied, restart) = (changes.applied.join(","), changes.restart.join(","));
+    if restart.is_empty() {
+        log::info!("event=reload outcome=applied applied={applied}");
+    } else {
+        log::warn!(
+            "event=reload outcome=applied applied={applied} restart={restart} \
+             remedy=\"restart the node to apply the rest\""
+        );
+    }
+}
--- a/bin/filbertstage/tests/node_exit.rs
+++ b/bin/filbertstage/tests/node_exit.rs
@@ -256,3 +256,64 @@
     assert_eq!(running.reply().map(|reply| reply.status), Some(502));
     assert_eq!(site.wait_for_exit(), Some(1));
 }
+
+/// Guards against a node that ends at SIGHUP and cuts all requests off.
+#[test]
+fn sighup_cuts_nothing() {
+    let mut site = Site::start(&slow_plan());
+    let complete = |stream| {
+        let body = completion(2, stream);
+        let headers = "connection: close\r\n";
+        Client::send_with(site.callers, COMPLETIONS, headers, &body, body.len())
+    };
+    let client = complete(false);
+    thread::sleep(SETTLING);
+    site.signal("HUP");
+    let stream = complete(true);
+    thread::sleep(SETTLING);
+    site.signal("HUP");
+    for client in [client, stream] {
+        let reply = client.reply().expect("a response");
+        let is_complete = reply.is_whole && reply.body.contains("finish_reason");
+        assert!(reply.status == 200 && is_complete, "{reply:?}");
+    }
+    site.assert_alive();
+}
+
+/// Guards against a node that does not take over changed settings, does not say which ones need a
+/// restart, or takes over settings with an error.
+#[test]
+fn sighup_takes_over_what_can_change_while_running() {
+    let mut site = Site::start(&slow_plan());
+    let has_logged = |site: &Site, text: &str| {
+        let started = Instant::now();
+        while !site.log().contains(text) {
+            assert!(
+                started.elapsed() < GUARD,
+                "{text:?} is not in the log: {}",
+                site.log()
+            );
+            thread::sleep(Duration::from_millis(20));
+        }
+    };
+    site.edit_settings(|text| text.replace("\"drain_ms\":2000", "\"drain_ms\":\"long\""));
+    site.signal("HUP");
+    has_logged(&site, "event=reload outcome=kept");
+    site.edit_settings(|text| {
+        text.replace("\"drain_ms\":\"long\"", "\"drain_ms\":800")
+            .replace("\"memory_mb\":160", "\"memory_mb\":161")
+    });
+    site.signal("HUP");
+    has_logged(
+        &site,
+        "event=reload outcome=applied applied=times.drain_ms restart=resources.memory_mb",
+    );
+    let client = Client::complete(site.callers, LONG, false);
+    thread::sleep(SETTLING);
+    let started = Instant::now();
+    site.signal("TERM");
+    assert_eq!(client.reply().map(|reply| reply.status), Some(502));
+    assert_eq!(site.wait_for_exit(), Some(1));
+    let took = started.elapsed();
+    assert!(took < DRAIN / 2, "the exit took {took:?}");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
 use crate::connection::Connections;
 use crate::exit::{self, Remaining};
 use crate::server::Server;
-use crate::settings::Settings;
+use crate::settings::{Reload, Settings};
 use crate::shared::{Dependencies, Shared};
 use crate::{api, claims, deferred, dispatch, follow, gossip, peer, reconcile, watch};
 
@@ -22,6 +23,8 @@
     callers: SocketAddr,
     nodes: SocketAddr,
     connections: Arc<Connections>,
+    /// The settings in use; unlike those of the tasks, they change while the node runs.
+    settings: Mutex<Settings>,
     _tasks: JoinSet<()>,
 }
 
@@ -38,6 +41,7 @@
         let socket = Arc::new(UdpSocket::bind(nodes).await?);
         let callers = TcpListener::bind(settings.listen.callers).await?;
         let address = callers.local_addr()?;
+        let current = Mutex::new(settings.clone());
         let shared = Arc::new(Shared::new(settings, dependencies, nodes));
         let connections = Connections::new(shared.settings.resources.max_callers());
         let mut tasks = JoinSet::new();
@@ -60,6 +64,7 @@
             callers: address,
             nodes,
             connections,
+            settings: current,
             _tasks: tasks,
         })
     }
@@ -89,6 +94,11 @@
         self.shared.ready()
     }
 
+    /// Takes over what can change in the settings of a running node.
+    pub fn reload(&self, settings: &Settings) -> Reload {
+        self.settings.lock().reload(settings)
+    }
+
     /// Finishes all work, for at most `times.drain_ms`: the node is no longer ready, and each request
     /// that it has read gets a response.
     ///
@@ -100,7 +110,7 @@
             shared.running.load(Ordering::SeqCst)
         );
         shared.tables.members.lock().leave();
-        let time = Duration::from_millis(shared.settings.times.drain_ms);
+        let time = Duration::from_millis(self.settings.lock().times.drain_ms);
         let remaining = Remaining {
             shared,
             connections: &self.connections,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -206,6 +206,18 @@
     }
 }
 
+/// Keys whose values can change while a node runs.
+const RELOADABLE: [&str; 2] = ["log.level", "times.drain_ms"];
+
+/// The keys that differ in settings that were read again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reload {
+    /// Keys whose new values are in use.
+    pub applied: Vec<String>,
+    /// Keys whose new values need a restart.
+    pub restart: Vec<String>,
+}
+
 impl Settings {
     /// Reads and checks settings from JSON with comments.
     ///
@@ -223,6 +235,17 @@
         Err(Problems(problems))
     }
 
+    /// Takes over the values of `changed` that can change while a node runs.
+    pub fn reload(&mut self, changed: &Self) -> Reload {
+        let keys = settings::changed_keys(self, changed);
+        let (applied, restart) = keys
+            .into_iter()
+            .partition(|key| RELOADABLE.contains(&key.as_str()));
+        self.log.level.clone_from(&changed.log.level);
+        self.times.drain_ms = changed.times.drain_ms;
+        Reload { applied, restart }
+    }
+
     /// Returns the address at which other nodes reach this one.
     #[must_use]
     pub fn advertised(&self) -> SocketAddr {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,8 @@
 //! assert_eq!(problems[0].key, "hots");
 //! ```
 
+mod changes;
 mod document;
 
+pub use changes::changed_keys;
 pub use document::{Document, Problem, Problems};
