End the wait of a node that drains at a second signal

Operators saw: a second SIGTERM or SIGINT in the drain of a node changed nothing, so that the only way to an earlier exit was SIGKILL, which cuts all requests off.

Change: it begins the last stage, in which requests get their final responses. Hosts ignore it as before, since the platform ends them by itself.

Measured: node_exit.rs, `a_second_signal_ends_the_wait_with_a_response` failed before (the waiting request was served after the first one had ended) and passes.

--- a/bin/filbertstage/src/cmd/mod.rs
+++ b/bin/filbertstage/src/cmd/mod.rs
@@ -40,7 +40,7 @@
   3  the settings are invalid
 
 Signals:
-  SIGTERM, SIGINT  Drain
+  SIGTERM, SIGINT  Drain. A node that gets a second one ends running requests with a final response
   SIGHUP           Read the settings again. A node takes over log.level and times.drain_ms
 
 See docs/settings.md for every key.
--- a/bin/filbertstage/src/cmd/serve.rs
+++ b/bin/filbertstage/src/cmd/serve.rs
@@ -10,7 +10,7 @@
 use super::{EXIT_FAILED, check, install_logger, set_log_level};
 
 /// Runs a node with the settings in `file`, drains the node at the end and returns the exit code. SIGHUP
-/// reads the settings again.
+/// reads the settings again, and a second signal in the drain hastens it.
 pub fn run(file: &Path) -> ExitCode {
     let settings = match check::read_settings(file, Settings::read) {
         Ok(settings) => settings,
@@ -49,7 +49,17 @@
             _ = hangup.recv() => reload(file, &node),
         }
     }
-    Ok(node.drain().await)
+    let drained = node.drain();
+    tokio::pin!(drained);
+    loop {
+        tokio::select! {
+            complete = &mut drained => return Ok(complete),
+            _ = terminate.recv() => node.hasten(),
+            _ = interrupt.recv() => node.hasten(),
+            // The settings no longer matter.
+            _ = hangup.recv() => {}
+        }
+    }
 }
 
 /// Reads the settings again. Settings with an error change nothing.
--- a/bin/filbertstage/tests/node_exit.rs
+++ b/bin/filbertstage/tests/node_exit.rs
@@ -317,3 +317,31 @@
     let took = started.elapsed();
     assert!(took < DRAIN / 2, "the exit took {took:?}");
 }
+
+/// Guards against a second signal that is ignored, or that ends requests without a response.
+#[test]
+fn a_second_signal_ends_the_wait_with_a_response() {
+    let mut plan = slow_plan();
+    plan.drain_ms = Some(30_000);
+    let mut site = Site::start(&plan);
+    let running = Client::complete(site.callers, LONG, true);
+    thread::sleep(SETTLING);
+    let waiting = Client::complete(site.callers, LONG, false);
+    let unread = Client::send_part(site.callers, COMPLETIONS, &completion(LONG, false), 10);
+    thread::sleep(SETTLING);
+    site.signal("TERM");
+    thread::sleep(SETTLING);
+    let started = Instant::now();
+    site.signal("TERM");
+    let outcome = |client: Client| client.reply().map(|reply| (reply.status, reply.outcome()));
+    assert_eq!(outcome(waiting), Some((503, json!("not_run"))));
+    assert_eq!(outcome(unread), Some((503, json!("not_run"))));
+    let running = running.reply().expect("a response");
+    assert!(
+        running.is_whole && running.body.contains("\"outcome\":\"failed\""),
+        "{running:?}"
+    );
+    assert_eq!(site.wait_for_exit(), Some(1));
+    let took = started.elapsed();
+    assert!(took < Duration::from_secs(2), "the exit took {took:?}");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use shutdown::Stage;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
@@ -99,6 +100,12 @@
         self.settings.lock().reload(settings)
     }
 
+    /// Ends the wait for running requests of a node that drains. They get final responses.
+    pub fn hasten(&self) {
+        log::info!("event=hastened");
+        self.shared.shutdown.enter(Stage::Ending);
+    }
+
     /// Finishes all work, for at most `times.drain_ms`: the node is no longer ready, and each request
     /// that it has read gets a response.
     ///
