--- a/bin/filbertstage/src/cmd/mod.rs
+++ b/bin/filbertstage/src/cmd/mod.rs
@@ -17,6 +17,14 @@
 /// Exit code for a node that could not start or did not drain completely.
 pub const EXIT_FAILED: u8 = 1;
 
+/// The version, and a digest of the sources that tells builds of one version apart.
+pub const VERSION: &str = concat!(
+    env!("CARGO_PKG_VERSION"),
+    " (sources ",
+    env!("FILBERTSTAGE_SOURCES"),
+    ")"
+);
+
 /// Output of `--help`.
 pub const HELP: &str = "\
 Serves prompts of widely varying lengths: one process on each entry host.
@@ -85,6 +93,7 @@
     // Fails only if a logger is already installed; this process installs no other.
     let _ = WriteLogger::init(LevelFilter::Trace, config, writer);
     set_log_level(level);
+    log::info!("event=starting version=\"{VERSION}\"");
 }
 
 /// Sets the lowest level that is logged. An unknown `level` counts as `info`.
--- a/bin/filbertstage/src/main.rs
+++ b/bin/filbertstage/src/main.rs
@@ -25,7 +25,7 @@
             ExitCode::SUCCESS
         }
         cmd::Command::Version => {
-            println!("filbertstage {}", env!("CARGO_PKG_VERSION"));
+            println!("filbertstage {}", cmd::VERSION);
             ExitCode::SUCCESS
         }
         cmd::Command::Check(file) => cmd::check::run(&file),
