Stop nodes in series in the soak, and check that each request is answered

The drain time is changed while the node runs. A connection that ends without a response fails the run.

--- a/bin/filbertctl/src/cmd/soak/callers.rs
+++ b/bin/filbertctl/src/cmd/soak/callers.rs
@@ -203,6 +203,9 @@
         tally.record_violation(format!("booking {key} got different answers"));
     }
     for (end, body) in &ends {
+        if *end == End::NodeLost {
+            tally.record_connection_loss();
+        }
         tally.record_booking(&key, *end);
         tally.record_end(
             &format!("booking {key}"),
--- a/bin/filbertctl/src/cmd/soak/mod.rs
+++ b/bin/filbertctl/src/cmd/soak/mod.rs
@@ -2,6 +2,7 @@
 
 mod artifacts;
 mod callers;
+mod exits;
 mod faults;
 mod tally;
 
@@ -34,6 +35,8 @@
       --load F      Arrival rate as a fraction of the engines' capacity [default: 0.4]
       --quiet       Inject no faults
       --rolling     Replace every node, one after another, instead of injecting faults
+      --exits       Stop nodes with short drains in series, instead of injecting faults; a connection
+                    that ends without a response fails the run
       --trace FILE  Write a trace of the run, one event per line [default: none]
       --keep DIR    Directory for the trace and log of a failed run [default: soak-failures]
       --json        Print JSON
@@ -43,7 +46,7 @@
             3 the soak did not run to its end or a file cannot be written
 ";
 pub const FLAGS: &[&str] = &[
-    "seconds=", "seed=", "load=", "quiet", "rolling", "trace=", "keep=",
+    "seconds=", "seed=", "load=", "quiet", "rolling", "exits", "trace=", "keep=",
 ];
 
 /// Speed of the engines, as a multiple of real ones.
@@ -62,6 +65,8 @@
     Quiet,
     /// Every node is replaced, one after another.
     Rolling,
+    /// Nodes are stopped in series, with short drains.
+    Exits,
 }
 
 /// Parsed options of the command.
@@ -73,11 +78,13 @@
 }
 
 pub fn run(arguments: &mut Arguments) -> Result<ExitCode, Error> {
-    let mode = match (arguments.flag("rolling"), arguments.flag("quiet")) {
-        (true, _) => Mode::Rolling,
-        (false, true) => Mode::Quiet,
-        (false, false) => Mode::Faults,
-    };
+    let modes = [
+        ("exits", Mode::Exits),
+        ("rolling", Mode::Rolling),
+        ("quiet", Mode::Quiet),
+    ];
+    let chosen = modes.into_iter().find(|(flag, _)| arguments.flag(flag));
+    let mode = chosen.map_or(Mode::Faults, |(_, mode)| mode);
     let setup = Setup {
         duration: Duration::from_secs(arguments.value("seconds")?.unwrap_or(30)),
         seed: arguments.value("seed")?.unwrap_or(1),
@@ -150,6 +157,10 @@
     match setup.mode {
         Mode::Faults => inject_faults(setup, &mut fleet, &balancer, tally).await?,
         Mode::Rolling => replace_nodes(&mut fleet, &balancer, tally).await?,
+        Mode::Exits => {
+            let mut rng = SmallRng::seed_from_u64(setup.seed ^ 0xe817);
+            exits::run(&mut fleet, &balancer, tally, &mut rng, setup.duration).await?;
+        }
         Mode::Quiet => {}
     }
     // A panic in the load is a bug of the soak itself, so the run ends with an error.
@@ -162,6 +173,9 @@
             tally.trace(format!("still held: {holding}"));
         }
     }
+    if setup.mode == Mode::Exits {
+        tally.check_connections();
+    }
     tally.check_executions(&fleet.service.executions());
     let violations = node::invariant::violations();
     fleet.stop();
--- a/bin/filbertctl/src/cmd/soak/tally.rs
+++ b/bin/filbertctl/src/cmd/soak/tally.rs
@@ -174,6 +174,14 @@
         self.state.lock().report.cut += 1;
     }
 
+    /// Records a violation if a connection to a node broke, in a run in which no node was killed.
+    pub fn check_connections(&self) {
+        let cut = self.state.lock().report.cut;
+        if cut > 0 {
+            self.record_violation(format!("{cut} connections ended without a response"));
+        }
+    }
+
     /// Counts an ended request and adds it to the trace.
     pub fn record_end(&self, description: &str, end: End, error: &str) {
         let mut state = self.state.lock();
--- a/bin/filbertctl/src/fleet/member.rs
+++ b/bin/filbertctl/src/fleet/member.rs
@@ -165,6 +165,19 @@
         }
     }
 
+    /// The node itself.
+    #[must_use]
+    pub const fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Changes the maximum duration of a drain while the node runs.
+    pub fn set_drain_time(&self, time: Duration) {
+        let mut settings = self.settings.clone();
+        settings.times.drain_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.node.reload(&settings);
+    }
+
     /// Drains the node and shuts it down.
     ///
     /// Returns whether all its requests ended within the drain time.
