--- a/bin/filbertctl/src/cmd/demo.rs
+++ b/bin/filbertctl/src/cmd/demo.rs
@@ -18,7 +18,8 @@
 Usage: filbertctl demo [OPTIONS]
 
 Options:
-      --stay       Keep running and print commands to try; ignored with --platform
+      --stay       Keep running and print commands to try, and drain at Ctrl-C or SIGTERM; ignored
+                   with --platform
       --platform   Run a host that serves from the catalogue of a simulated users' platform, and
                    serve one request of each kind
       --json       Print JSON
@@ -33,6 +34,8 @@
 const SCALE: u32 = 20;
 /// Time limit of each request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(50);
+/// Maximum duration of the drain at the end.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
 /// Lengths of the prompts, in tokens.
 const PROMPT_TOKENS: [u64; 4] = [1_000, 10_000, 100_000, 1_000_000];
 
@@ -59,7 +62,8 @@
         |error: std::io::Error| Error::Unavailable(format!("the demo did not start: {error}"));
     let mut plan = Plan::new(&[("charnwood", 1, 4, 1)], SCALE);
     plan.kv_total = 400_000;
-    let fleet = Fleet::start(plan).await.map_err(start_error)?;
+    plan.drain = DRAIN_TIME;
+    let mut fleet = Fleet::start(plan).await.map_err(start_error)?;
     let address = fleet.caller_addresses()[0];
     let mut lines = Vec::new();
     for tokens in PROMPT_TOKENS {
@@ -75,6 +79,7 @@
     if stay {
         println!("{}", hint(address));
         wait_for_shutdown().await;
+        fleet.drain_all().await;
     }
     Ok(if whole {
         ExitCode::SUCCESS
--- a/bin/filbertctl/src/fleet/mod.rs
+++ b/bin/filbertctl/src/fleet/mod.rs
@@ -322,6 +322,12 @@
         member.drain().await
     }
 
+    /// Drains all nodes at once and shuts them down.
+    pub async fn drain_all(&mut self) {
+        let members = self.nodes.iter_mut().filter_map(Option::take);
+        futures_util::future::join_all(members.map(Member::drain)).await;
+    }
+
     /// KV memory in use on all engines, in tokens.
     #[must_use]
     pub fn kv_used(&self) -> u64 {
