Keep the response of a client that pauses while it reads

Callers saw: a client that stopped to read a large response for some seconds got a reset (review; of 2 MB, 134 kB arrived before a pause of 4 s).

Cause: a connection whose peer closes its window counts as silent for `TCP_USER_TIMEOUT`, 1.5 s. The time-out is there so that endpoints do not work for clients that are gone; for a response that is complete, none does.

Change: while a complete response is read, the time-out is the configuration's time for idle clients. From the next request on it is 1.5 s again. Streams of events keep 1.5 s. What is held for slow clients counts against the limits on memory as before.

Measured: platform/tests/slow_readers.rs, a pause of 4 s failed before and passes; a client that reads parts now and then passed before too, and one that never reads is still closed.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::observe;
+use crate::transport::{USER_TIMEOUT, set_user_timeout};
 
 /// The open connections of one listener.
 pub(crate) struct Connections {
@@ -64,6 +66,7 @@
             }),
             changed: Notify::new(),
             evicted: Notify::new(),
+            read_pause: AtomicU64::new(0),
         });
         self.members.lock().insert(id, Arc::clone(&connection));
         Some(connection)
@@ -114,6 +117,8 @@
     changed: Notify,
     /// Notified when the connection has to make room.
     evicted: Notify,
+    /// Milliseconds for which the client may stop to read the response, while nothing runs for it.
+    read_pause: AtomicU64,
 }
 
 /// Maximum times of a connection without a request.
@@ -132,6 +137,7 @@
         let mut activity = self.activity.lock();
         activity.running += 1;
         activity.is_reading = true;
+        self.read_pause.store(0, Ordering::Relaxed);
         activity.head_since = None;
         self.connections.table.lock().record_idle(self.id, now);
         !std::mem::replace(&mut activity.served, true)
@@ -147,6 +153,19 @@
         }
     }
 
+    /// Lets the client stop to read for `pause`. The response is complete, so that no endpoint works for
+    /// a client that may be gone.
+    pub fn allow_read_pause(&self, pause: Duration) {
+        let pause = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        self.read_pause.store(pause, Ordering::Relaxed);
+    }
+
+    /// Time after which the system closes the connection if what was sent is not read.
+    fn user_timeout(&self) -> Duration {
+        let pause = Duration::from_millis(self.read_pause.load(Ordering::Relaxed));
+        pause.max(USER_TIMEOUT)
+    }
+
     /// Records that a request has ended.
     pub fn end_request(&self) {
         let now = self.connections.clock.now();
@@ -228,15 +247,29 @@
     }
 }
 
-/// A stream that tells its connection when bytes arrive.
+/// A stream that tells its connection when bytes arrive, and keeps to its time-out.
 pub(crate) struct Watched {
     stream: TcpStream,
     connection: Arc<Connection>,
+    user_timeout: Duration,
 }
 
 impl Watched {
     pub const fn new(stream: TcpStream, connection: Arc<Connection>) -> Self {
-        Self { stream, connection }
+        Self {
+            stream,
+            connection,
+            user_timeout: USER_TIMEOUT,
+        }
+    }
+
+    fn update_timeout(&mut self) -> io::Result<()> {
+        let wanted = self.connection.user_timeout();
+        if wanted != self.user_timeout {
+            set_user_timeout(&self.stream, wanted)?;
+            self.user_timeout = wanted;
+        }
+        Ok(())
     }
 }
 
@@ -246,6 +279,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.update_timeout()?;
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
@@ -261,6 +295,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_timeout()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -269,6 +304,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_timeout()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -281,6 +281,9 @@
             let pipeline = Arc::clone(&self.pipeline);
             pipeline::handle(pipeline, request, origin, &active.connection).await
         };
+        if matches!(response.body(), Body::Whole(_)) {
+            active.connection.allow_read_pause(self.limits().idle);
+        }
         if self.shutdown().has_reached(Stage::Draining) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
--- a/crates/relay/src/transport/mod.rs
+++ b/crates/relay/src/transport/mod.rs
@@ -35,7 +35,7 @@
 /// Timeout for a connection that only tests whether the peer accepts any.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum buffer size of a connection, in bytes; hyper's minimum.
@@ -339,6 +339,11 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Sets the time after which the system closes a connection whose peer does not read what was sent.
+pub(crate) fn set_user_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
+
 /// Why there is no response on a connection, with the reason.
 enum SendError {
     /// No part of the request was sent.
