Hand deferred requests over before a node exits

Callers saw: a deferred request, or its answer, was gone (404) after the two nodes that held it had exited within seconds of each other, as in a replacement of nodes.

Cause: a copy is renewed when its node is dead, 2.4 s after it has gone, and so is the owner of a copy replaced. Nodes that exited in the meantime handed nothing over.

Change: a node that exits makes copies at nodes that stay, of what is held only by nodes that exit. It waits for two heartbeats before, only if it holds deferred requests.

Measured: serving.rs, both cases of `deferred_request_survives_the_exit_of_both_its_nodes` failed before (404 for 20 s) and pass.

--- a/bin/filbertctl/tests/suite/serving.rs
+++ b/bin/filbertctl/tests/suite/serving.rs
@@ -8,6 +8,7 @@
 use filbertctl::scenario;
 use http::Method;
 use kernel::membership;
+use rstest::rstest;
 use serde_json::json;
 
 use crate::{TIME_LIMIT, eventually, request, send, single_domain};
@@ -254,6 +255,34 @@
     assert_eq!(wait_for_answer(addresses[2], &key, &id).await, expected);
 }
 
+/// Guards against a deferred request or its answer that is lost because both nodes that hold it exit at once.
+#[rstest]
+#[case::answered(true)]
+#[case::waits_or_runs(false)]
+#[tokio::test]
+async fn deferred_request_survives_the_exit_of_both_its_nodes(#[case] answered: bool) {
+    let domains = ["charnwood", "cannock", "sherwood"].map(|domain| (domain, 1, 1, 0));
+    let mut plan = fleet::Plan::new(&domains, 4);
+    plan.drain = Duration::from_millis(1_600);
+    let mut fleet = fleet::Fleet::start(plan).await.expect("the fleet starts");
+    let addresses = fleet.caller_addresses();
+    let (key, prompt) = (fleet::workspace_key(0), scenario::prompt(60_000, 4));
+    let (end, id) = caller::defer(addresses[0], request(&key, &prompt)).await;
+    assert_eq!(end, End::Whole, "{id}");
+    let expected = fakes::text::answer(&prompt, 64);
+    if answered {
+        assert_eq!(wait_for_answer(addresses[0], &key, &id).await, expected);
+    }
+    // Node 1 holds the copy, because its failure domain is the first other one.
+    let (owner, replica) = (fleet.nodes[0].take(), fleet.nodes[1].take());
+    tokio::join!(
+        owner.expect("a node").drain(),
+        replica.expect("a node").drain()
+    );
+    fleet.publish_hosts();
+    assert_eq!(wait_for_answer(addresses[2], &key, &id).await, expected);
+}
+
 /// Polls a deferred request until it has an answer, and returns the text.
 async fn wait_for_answer(address: SocketAddr, key: &str, id: &str) -> String {
     let deadline = tokio::time::Instant::now() + TIME_LIMIT;
--- a/crates/kernel/src/deferred.rs
+++ b/crates/kernel/src/deferred.rs
@@ -135,6 +135,12 @@
         self.entries.remove(&id);
     }
 
+    /// Whether this node has no request and no copy.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// The entry of a request or copy at this node.
     #[must_use]
     pub fn find(&self, id: Id) -> Option<&Entry<T>> {
--- a/crates/node/src/deferred.rs
+++ b/crates/node/src/deferred.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use kernel::deferred::Table;
 use kernel::membership;
 use kernel::outcome::Refusal;
@@ -190,6 +191,38 @@
     }
 }
 
+/// Hands the requests and answers of a node that exits over to nodes that stay: those whose copy is at no
+/// such node, and the copies whose owner does not stay either. Their copies are adopted when this node is
+/// dead.
+pub(crate) async fn hand_over(shared: &Shared) {
+    if shared.tables.deferred.lock().is_empty() {
+        return;
+    }
+    // Nodes that exit at the same time know it of each other.
+    tokio::time::sleep(2 * membership::INTERVAL).await;
+    let staying: Vec<_> = {
+        let now = shared.now();
+        let members = shared.tables.members.lock();
+        let live = members.live(now).into_iter();
+        let staying = live.filter(|entry| !entry.leaving);
+        staying.map(|entry| entry.incarnation).collect()
+    };
+    let unreplicated = {
+        let mut store = shared.tables.deferred.lock();
+        store.adopt(shared.now(), &staying);
+        store.unreplicated(&staying)
+    };
+    let found = unreplicated.iter().filter_map(|id| find(shared, *id));
+    let copies = join_all(found.map(|deferred| replicate(shared, deferred))).await;
+    let failed = copies.iter().filter(|is_copied| !**is_copied).count();
+    if !copies.is_empty() {
+        log::info!(
+            "event=deferred_handed_over requests={} failed={failed}",
+            copies.len()
+        );
+    }
+}
+
 /// The incarnations of all live nodes, including this one.
 fn live_incarnations(shared: &Shared) -> Vec<Incarnation> {
     let now = shared.now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use shutdown::Stage;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::connection::Connections;
 use crate::exit::{self, Remaining};
@@ -122,7 +123,10 @@
             shared,
             connections: &self.connections,
         };
-        let complete = shared.shutdown.run(&exit::schedule(time), &remaining).await;
+        let handed_over = timeout(time, deferred::hand_over(shared));
+        let schedule = exit::schedule(time);
+        let drained = shared.shutdown.run(&schedule, &remaining);
+        let (complete, _) = tokio::join!(drained, handed_over);
         shared.tracing.flush();
         log::info!(
             "event=drained whole={complete} running={}",
