Answer an operator's change before a node exits

Operators saw: a change that waited for the log when the node exited was closed without a response, so that nobody knew whether to publish it again.

Cause: the wait for a verdict, up to 5 s, and the append before it did not know of the exit.

Change: in the last stage, the response states that the outcome is unknown.

Measured: lists.rs, `a_change_that_waits_when_its_node_exits_is_answered` failed before with a broken connection and passes.

--- a/bin/filbertctl/tests/suite/lists.rs
+++ b/bin/filbertctl/tests/suite/lists.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fakes::log;
-use filbertctl::fleet::{self, Fleet, MODEL};
+use filbertctl::fleet::{self, Fleet, MODEL, Plan};
 use http::Method;
 use serde_json::{Value, json};
 
@@ -114,6 +114,28 @@
     assert_eq!(verdict["verdict"], "invalid", "{verdict}");
 }
 
+/// Guards against an operator whose change is closed without a response when the node exits.
+#[tokio::test]
+async fn a_change_that_waits_when_its_node_exits_is_answered() {
+    let mut plan = Plan::new(&[("charnwood", 1, 1, 0)], 4);
+    plan.drain = Duration::from_secs(1);
+    let mut fleet = Fleet::start(plan).await.expect("the fleet starts");
+    let address = fleet.caller_addresses()[0];
+    let base = current_lists(address).await["plans_version"].clone();
+    fleet.platform.log.inject(log::Faults {
+        delay: Duration::from_secs(4),
+        ..log::Faults::default()
+    });
+    let leaving = fleet.nodes[0].take().expect("a node");
+    let exit = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        leaving.drain().await
+    };
+    let ((status, body), _) = tokio::join!(publish(address, put_plan("one", &base, "alpha")), exit);
+    assert_eq!(status, 503, "{body}");
+    assert!(body.to_string().contains("unknown"), "{body}");
+}
+
 #[tokio::test]
 async fn nodes_without_the_log_get_lists_from_peers() {
     let fleet = crate::start_fleet(&[("charnwood", 2, 1, 0), ("cannock", 2, 1, 0)], 4).await;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -12,10 +12,11 @@
 use kernel::request::Attempt;
 use provider::{Batch, Error};
 use rand::seq::IndexedRandom;
+use shutdown::Stage;
 use wire::Frame;
 
 use crate::shared::Shared;
-use crate::{claims, invariant, peer};
+use crate::{claims, exit, invariant, peer};
 
 /// Name of the log's stream of list changes.
 pub(crate) const LISTS_STREAM: &str = "lists";
@@ -222,14 +223,13 @@
         return Ok(known);
     }
     let record = fold::change_record(change);
-    if let Err(Error::Rejected(reason)) =
-        shared.dependencies.log.append(LISTS_STREAM, &record).await
-    {
+    let appended = shared.dependencies.log.append(LISTS_STREAM, &record);
+    if let Some(Err(Error::Rejected(reason))) = exit::until_ending(shared, appended).await {
         let what = format!("the log rejected the change: {reason}");
         return Err(Refusal::Unavailable(what, READ_BACK_TIMEOUT));
     }
     let deadline = tokio::time::Instant::now() + READ_BACK_TIMEOUT;
-    while tokio::time::Instant::now() < deadline {
+    while tokio::time::Instant::now() < deadline && !shared.shutdown.has_reached(Stage::Ending) {
         if let Some(known) = verdict() {
             return Ok(known);
         }
