Say that the outcome of a change is unknown when it may be on the log

Operators saw: a change without a verdict in time was answered with `unavailable` and the outcome `not_run`, though it may have been appended and come into force.

Cause: the refusal was that of a change that the log has rejected.

Change: 502 with the outcome `unknown`. The same identifier gets the verdict later, as before.

Measured: lists.rs, `a_change_that_waits_when_its_node_exits_is_answered` checks the outcome; it failed before with `not_run` and passes.

--- a/bin/filbertctl/tests/suite/lists.rs
+++ b/bin/filbertctl/tests/suite/lists.rs
@@ -114,7 +114,8 @@
     assert_eq!(verdict["verdict"], "invalid", "{verdict}");
 }
 
-/// Guards against an operator whose change is closed without a response when the node exits.
+/// Guards against an operator whose change is closed without a response when the node exits, or said not to
+/// have run although it may be on the log.
 #[tokio::test]
 async fn a_change_that_waits_when_its_node_exits_is_answered() {
     let mut plan = Plan::new(&[("charnwood", 1, 1, 0)], 4);
@@ -132,8 +133,8 @@
         leaving.drain().await
     };
     let ((status, body), _) = tokio::join!(publish(address, put_plan("one", &base, "alpha")), exit);
-    assert_eq!(status, 503, "{body}");
-    assert!(body.to_string().contains("unknown"), "{body}");
+    let outcome = body["error"]["outcome"].as_str();
+    assert_eq!((status, outcome), (502, Some("unknown")), "{body}");
 }
 
 #[tokio::test]
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -235,9 +235,8 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    let what =
-        format!("the outcome of change {id:?} is unknown: publish it again with the same id");
-    Err(Refusal::Unavailable(what, READ_BACK_TIMEOUT))
+    // The change may be on the log. The same identifier gets its verdict later.
+    Err(Refusal::Unknown(id.to_owned()))
 }
 
 async fn append_snapshot(shared: Arc<Shared>, record: String) {
