--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -212,8 +212,8 @@
 /// A lost acknowledgement is harmless, because the verdict is read back from the log. A change that
 /// is published again with the same identifier gets its first verdict.
 ///
-/// Fails with `Unavailable` if the log rejects the change or if the verdict is not read back within
-/// 5 seconds.
+/// Fails with `Unavailable` if the log rejects the change, and with `Unknown` if the verdict is not read
+/// back within 5 seconds, or before the node exits.
 pub(crate) async fn publish_change(shared: &Shared, change: &Change) -> Result<Verdict, Refusal> {
     const READ_BACK_TIMEOUT: Duration = Duration::from_secs(5);
     const POLL_INTERVAL: Duration = Duration::from_millis(10);
