Give a call that has run its outcome while its node exits

Callers saw: a caller that asked a node in the last part of its drain for the outcome of its call, under the same key, was told `not_run`. A caller that believes it makes the call again under another key.

Every call was refused in the closing stage, also one whose key the log has.

Change: calls whose key is not free get the recorded outcome, or `unknown`. For that, bodies are read for 300 ms more in that stage.

Measured: calls.rs, `a_call_that_has_run_keeps_its_outcome_while_its_node_exits` failed before with `not_run` and passes.

--- a/bin/filbertctl/src/cmd/soak/exits.rs
+++ b/bin/filbertctl/src/cmd/soak/exits.rs
@@ -73,6 +73,5 @@
         }
     };
     let (complete, (), ()) = tokio::join!(member.drain(), deregister, hasten);
-    tally.record_death();
     tally.trace(format!("{address} exited, complete: {complete}"));
 }
--- a/bin/filbertctl/tests/suite/calls.rs
+++ b/bin/filbertctl/tests/suite/calls.rs
@@ -259,6 +259,33 @@
     assert_eq!(execution_count(&fleet, "gate-8"), 0);
 }
 
+/// Guards against a caller that asks for the outcome of its call while the node exits, is told that the call has
+/// not run, and makes it again under another key.
+#[tokio::test]
+async fn a_call_that_has_run_keeps_its_outcome_while_its_node_exits() {
+    let mut fleet = slow_booking_fleet(Duration::ZERO, Duration::from_secs(2)).await;
+    let address = fleet.caller_addresses()[0];
+    let first = book_at(address, "gate-11", TIME_LIMIT).await;
+    assert_eq!(first.0, End::Whole, "{}", first.1);
+    fleet.service.inject(service::Faults {
+        delay: Duration::from_secs(6),
+        ..service::Faults::default()
+    });
+    let leaving = fleet.nodes[0].take();
+    let asking = async {
+        // The node no longer begins calls.
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        let known = book_at(address, "gate-11", TIME_LIMIT).await;
+        (known, book_at(address, "gate-12", TIME_LIMIT).await.0)
+    };
+    let (_running, (known, new), _) = tokio::join!(
+        book_at(address, "gate-13", TIME_LIMIT),
+        asking,
+        drain_after(leaving, Duration::from_millis(100)),
+    );
+    assert_eq!((known, new), (first, End::NotRun));
+}
+
 /// Guards against a node that exits while it makes a call for another node.
 #[tokio::test]
 async fn a_forwarded_call_ends_before_its_node_exits() {
--- a/crates/node/src/api/complete.rs
+++ b/crates/node/src/api/complete.rs
@@ -12,6 +12,7 @@
 use kernel::resume::Token;
 use kernel::share::Cost;
 use serde_json::json;
+use shutdown::Stage;
 use volo_http::request::Request;
 use wire::Deferred;
 
@@ -57,6 +58,9 @@
         shared.record(id, refusal.code(), refusal.to_string());
     })?;
     if prefers_async(&headers) {
+        if shared.shutdown.has_reached(Stage::Closing) {
+            return Err(exit::not_run());
+        }
         return defer(&shared, caller, id, &prompt, body, admitted).await;
     }
     drop(body);
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -19,7 +19,7 @@
 use kernel::request::Id;
 use serde_json::{Value, json};
 use shutdown::Stage;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -124,8 +124,8 @@
 /// Maximum time for which the rest of a refused body is read and dropped, so that its caller can read the
 /// response.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
-/// The same for a body that is refused because the node shuts down, which waits for it.
-const EXIT_DISCARD_TIME: Duration = Duration::from_millis(300);
+/// Maximum time for which a body is still read while the node shuts down.
+const LATE_BODY_TIME: Duration = Duration::from_millis(300);
 /// `Retry-After` of requests for whose body there is no room.
 const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -144,18 +144,18 @@
     };
     let hold = shared.bodies.open_incoming();
     let reading = buffer::fill(&mut body, hold, limits, |_| {});
+    let is_late = async {
+        shared.shutdown.wait_until(Stage::Closing).await;
+        sleep(LATE_BODY_TIME).await;
+    };
     let read = tokio::select! {
-        read = timeout(time, reading) => Some(read),
-        () = shared.shutdown.wait_until(Stage::Closing) => None,
+        read = timeout(time, reading) => read,
+        () = is_late => return Err(exit::not_run()),
     };
     let error = match read {
-        Some(Ok(Ok(filled))) => return Ok(filled),
-        Some(Ok(Err(error))) => error,
-        Some(Err(_)) => return Err(Refusal::TimedOut(Outcome::NotRun)),
-        None => {
-            tokio::spawn(timeout(EXIT_DISCARD_TIME, discard(body, limits.bytes)));
-            return Err(exit::not_run());
-        }
+        Ok(Ok(filled)) => return Ok(filled),
+        Ok(Err(error)) => error,
+        Err(_) => return Err(Refusal::TimedOut(Outcome::NotRun)),
     };
     if matches!(error, Error::TooLarge(_) | Error::Full) {
         tokio::spawn(timeout(DISCARD_TIME, discard(body, limits.bytes)));
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -58,9 +58,6 @@
 /// Makes a call in this failure domain, or forwards it to another one if the service has no
 /// endpoints here, and returns the service's answer.
 pub(crate) async fn run(shared: &Arc<Shared>, call: Call) -> Result<Answer, Refusal> {
-    if shared.shutdown.has_reached(Stage::Closing) {
-        return Err(exit::not_run());
-    }
     let lists = shared.tables.lists();
     let Some(entry) = lists.call(&call.service, &call.name) else {
         let what = format!(
@@ -73,6 +70,11 @@
             "correct the path or ask the operators to publish it".to_owned(),
         ));
     };
+    // A call that may have run gets its outcome until the end.
+    let is_new = entry.repeatable || shared.tables.claims.lock().is_free(&call.claim_key());
+    if is_new && shared.shutdown.has_reached(Stage::Closing) {
+        return Err(exit::not_run());
+    }
     let services = local_services(shared, &call.service);
     if services.is_empty() {
         return forward(shared, &call, entry.repeatable).await;
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -41,8 +41,8 @@
 ) -> Result<T, Refusal> {
     tokio::select! {
         biased;
-        () = shared.shutdown.wait_until(Stage::Closing) => Err(not_run()),
         result = result => result,
+        () = shared.shutdown.wait_until(Stage::Closing) => Err(not_run()),
     }
 }
 
