Read the store again as soon as it responds after a silence (CONFIG)

Cause: a newer version at another host made the host forget its position, and a read of all records was waited for by its duration, up to 8 s. One that was sent into the silence outlived it. The duration of a call does not tell a slow store from a silent one.

Change: a version of another host ends the pending read and keeps the position. Reads are bounded by the time since their last byte, and a read of all records that gets none probes the store; once a probe is answered after one that was not, the read counts as lost and is sent again. The same holds for entries of endpoints (DRAIN).

--- a/crates/fakes/src/site/log.rs
+++ b/crates/fakes/src/site/log.rs
@@ -16,7 +16,7 @@
 use percent_encoding::percent_decode_str;
 use relay::body::Body;
 use serde_json::{Value, json};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
 use super::http1::{Handler, Request, json_response};
@@ -41,6 +41,16 @@
     topics: Mutex<HashMap<String, Topic>>,
     appended: Notify,
     down: AtomicBool,
+    /// Whether calls that arrive get no response.
+    silent: AtomicBool,
+    /// Whether reads of the newest records get no response.
+    newest_silent: AtomicBool,
+    /// Time over which each page of the newest records is sent, in parts.
+    newest_duration: Mutex<Duration>,
+    /// Number of the next connection on which a call arrives for the first time.
+    next_connection: AtomicUsize,
+    /// Number of the first connection that was not silenced.
+    first_audible: AtomicUsize,
     era: AtomicU64,
     /// Time that each read of the newest records takes.
     newest_delay: Mutex<Duration>,
@@ -75,6 +85,33 @@
         self.down.store(down, Ordering::SeqCst);
     }
 
+    /// Sets whether calls get no response. A call that arrives or waits meanwhile gets none afterwards
+    /// either.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// Sets whether reads of the newest records get no response, as [`Log::set_silent`] does for all calls.
+    pub fn silence_newest(&self, silent: bool) {
+        self.newest_silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// Sends each page of the newest records in parts, over `time`.
+    pub fn send_newest_over(&self, time: Duration) {
+        *self.newest_duration.lock() = time;
+    }
+
+    /// Makes the open connections return nothing further, without closing them. New ones work.
+    pub fn silence_connections(&self) {
+        let next = self.next_connection.load(Ordering::SeqCst);
+        self.first_audible.store(next, Ordering::SeqCst);
+    }
+
+    /// Whether a connection returns nothing further.
+    fn is_silenced(&self, connection: usize) -> bool {
+        connection < self.first_audible.load(Ordering::SeqCst)
+    }
+
     /// Copies the content of the log.
     #[must_use]
     pub fn copy(&self) -> Copy {
@@ -223,17 +260,53 @@
                 let after: Option<String> = query_param(&request.uri, "after");
                 let after =
                     after.map(|after| percent_decode_str(&after).decode_utf8_lossy().into_owned());
-                json_response(StatusCode::OK, &self.read_newest(&topic, after.as_deref()))
+                let page = self.read_newest(&topic, after.as_deref());
+                let duration = *self.newest_duration.lock();
+                if duration.is_zero() {
+                    return json_response(StatusCode::OK, &page);
+                }
+                send_slowly(page.to_string().into(), duration)
             }
             _ => json_response(StatusCode::NOT_FOUND, &json!({})),
         }
     }
 }
 
+/// Number of parts of a response that is sent slowly.
+const PARTS: u32 = 20;
+
+/// Builds a response whose body is sent in equal parts over `duration`.
+fn send_slowly(body: Bytes, duration: Duration) -> Response<Body> {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let size = body.len().div_ceil(PARTS as usize).max(1);
+        for part in body.chunks(size) {
+            sleep(duration / PARTS).await;
+            let part = Bytes::copy_from_slice(part);
+            if sender.send(Ok(part)).await.is_err() {
+                return;
+            }
+        }
+    });
+    Response::new(Body::Events(receiver))
+}
+
 #[async_trait]
 impl Handler for Log {
     async fn handle(self: Arc<Self>, request: Request) -> Option<Response<Body>> {
+        let connection = request.connection;
+        self.next_connection
+            .fetch_max(connection + 1, Ordering::SeqCst);
+        let is_newest = request.uri.path() == names::LOG_NEWEST_PATH;
+        let is_silent = || {
+            self.silent.load(Ordering::SeqCst)
+                || is_newest && self.newest_silent.load(Ordering::SeqCst)
+        };
+        let is_lost = is_silent();
         let mut response = self.respond(request).await;
+        if is_lost || is_silent() || self.is_silenced(connection) {
+            std::future::pending::<()>().await;
+        }
         let era = self.era.load(Ordering::SeqCst) + 1;
         let set = self.era_header.lock().clone();
         let value = set.unwrap_or_else(|| HeaderValue::from(era));
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod place;
 pub mod position;
 pub mod quarantine;
+pub mod read;
 pub mod reconcile;
 pub mod request;
 pub mod resume;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -12,6 +12,7 @@
 use kernel::pace::Limit;
 use kernel::segment::Segment;
 use quick_error::quick_error;
+use tokio::sync::Notify;
 
 quick_error! {
     /// Why a call to the platform or to an endpoint failed.
@@ -200,6 +201,22 @@
     pub era: Option<u64>,
 }
 
+/// Tells who waits for a response that bytes of it arrive.
+#[derive(Debug, Default)]
+pub struct Progress(Notify);
+
+impl Progress {
+    /// Records that bytes have arrived.
+    pub fn record(&self) {
+        self.0.notify_one();
+    }
+
+    /// Returns when bytes have arrived since the last call.
+    pub async fn wait(&self) {
+        self.0.notified().await;
+    }
+}
+
 /// The platform's store of keyed records.
 ///
 /// Calls fail with [`Error::Refused`] if they had no effect, and with [`Error::Uncertain`] if no
@@ -207,12 +224,21 @@
 #[async_trait]
 pub trait Store: Send + Sync {
     /// Reads the newest record of each key of a topic.
-    async fn read_newest(&self, topic: Topic) -> Result<Batch, Error>;
+    async fn read_newest(&self, topic: Topic, progress: &Progress) -> Result<Batch, Error>;
 
     /// Reads the records from position `from`, waiting up to `wait` for the first one.
     ///
     /// Fails with [`Error::Truncated`] if the store no longer keeps that position.
-    async fn read_changes(&self, topic: Topic, from: u64, wait: Duration) -> Result<Batch, Error>;
+    async fn read_changes(
+        &self,
+        topic: Topic,
+        from: u64,
+        wait: Duration,
+        progress: &Progress,
+    ) -> Result<Batch, Error>;
+
+    /// Asks for little, to find out whether the store responds.
+    async fn probe(&self) -> Result<(), Error>;
 
     /// Publishes this host's announcement and where it runs.
     async fn announce(&self, announcement: &Announcement, location: &Location)
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,5 +1,7 @@
 //! Keeps configurations, endpoints and hosts in step with the platform's store.
 
+mod cursor;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -9,13 +11,13 @@
 use kernel::fleet::{self, Fleet};
 use kernel::name::Endpoint;
 use kernel::position::{Position, Reading, Report};
-use kernel::turn::Turn;
+use kernel::read::{BACKOFF_LONGEST, Watch};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use wire::placement::Topic as Shared;
 
-use crate::adapter::{Batch, Error, Record, Store, Topic};
+use crate::adapter::{Batch, Progress, Record, Store, Topic};
 use crate::clock::Clock;
 use crate::cold::Tracker;
 use crate::evacuation::{Evacuations, Outcome};
@@ -25,6 +27,7 @@
 use crate::registry::Registry;
 use crate::report;
 use crate::settings::Admission;
+use cursor::Cursor;
 
 /// A read of configurations waits at the store for the apply limit plus this time. A connection
 /// that no longer responds is detected only after that wait.
@@ -46,21 +49,9 @@
     Duration::from_millis(1_500),
     Duration::from_secs(3),
 ];
-/// Longest wait for a response of the store, beyond the wait that the request asks for.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Longest first wait for the newest record of each key, which may need several responses. Doubles
-/// with each read that is given up, up to [`FULL_TIMEOUT_LONGEST`], because a store that sends all
-/// records to many hosts at once takes longer.
-const FULL_TIMEOUT_FIRST: Duration = Duration::from_millis(1_400);
-/// Longest wait for the newest record of each key.
-const FULL_TIMEOUT_LONGEST: Duration = Duration::from_secs(8);
 /// Time after which a version that another host has should have arrived here too.
 const VERSION_GRACE: Duration = Duration::from_millis(250);
-/// Wait after the first failed call. Doubles with each further failure up to
-/// [`BACKOFF_LONGEST`].
-const BACKOFF_FIRST: Duration = Duration::from_millis(100);
-/// Longest wait between two calls while the store fails.
-const BACKOFF_LONGEST: Duration = Duration::from_millis(600);
+
 /// Follows the topics of one store, one task for each topic.
 pub(crate) struct Follower {
     pub store: Arc<dyn Store>,
@@ -108,38 +99,15 @@
         loop {
             self.raised.notified().await;
             sleep(VERSION_GRACE).await;
-            if registry.version() < self.newest.load(Ordering::Relaxed) {
+            if self.is_ahead(registry) {
                 return;
             }
         }
     }
-}
-
-/// Read position of one topic, and since when reads of it fail.
-struct Cursor {
-    topic: Topic,
-    /// Name of the topic in the reports of hosts.
-    shared: Shared,
-    position: Position,
-    /// When this host must read the topic, unless another one reports a read.
-    turn: Turn,
-    failing_since: Option<Instant>,
-    backoff: Duration,
-    /// Longest wait for the next read of the newest record of each key.
-    full_timeout: Duration,
-}
 
-impl Cursor {
-    fn new(topic: Topic, shared: Shared, interval: Duration) -> Self {
-        Self {
-            topic,
-            shared,
-            position: Position::default(),
-            turn: Turn::new(interval),
-            failing_since: None,
-            backoff: BACKOFF_FIRST,
-            full_timeout: FULL_TIMEOUT_FIRST,
-        }
+    /// Whether another host has a newer version than this one.
+    fn is_ahead(&self, registry: &Registry) -> bool {
+        registry.version() < self.newest.load(Ordering::Relaxed)
     }
 }
 
@@ -153,11 +121,12 @@
         let mut cursor = Cursor::new(Topic::Configuration, Shared::Configuration, interval);
         loop {
             let began = self.clock.now();
+            let is_known = cursor.position.next().is_some();
             let read = tokio::select! {
                 read = self.next_configurations(&mut cursor) => read,
-                () = self.peer_version.wait_until_behind(&self.registry) => {
+                () = self.peer_version.wait_until_behind(&self.registry), if is_known => {
                     // The connection of the pending read may be broken. Start a new read.
-                    cursor.position.reset();
+                    cursor.is_behind = true;
                     continue;
                 }
             };
@@ -171,11 +140,20 @@
                 for record in others {
                     self.handle_configuration(record);
                 }
+                // Changes that do not bring another host's version were read at a wrong position.
+                let was_behind = std::mem::take(&mut cursor.is_behind);
+                let still_behind = was_behind && self.peer_version.is_ahead(&self.registry);
+                if still_behind && reading == Reading::Changes {
+                    cursor.position.reset();
+                }
             }
         }
     }
 
     async fn next_configurations(&self, cursor: &mut Cursor) -> Option<(Batch, Reading)> {
+        if cursor.is_behind {
+            return self.read(cursor, Duration::ZERO).await;
+        }
         let rank = self.hosts.rank(cursor.topic);
         if rank >= POLLING_HOSTS {
             return self.next_read(cursor, None).await;
@@ -380,8 +358,10 @@
     /// read failed.
     async fn read_hosts(&self, position: &mut Position) -> Option<bool> {
         let sent_at = self.clock.now();
-        let newest = timeout(STORE_TIMEOUT, self.store.read_newest(Topic::Hosts)).await;
-        let batch = newest.ok()?.ok()?;
+        let progress = Progress::default();
+        let mut watch = Watch::changes(sent_at, Duration::ZERO);
+        let newest = self.store.read_newest(Topic::Hosts, &progress);
+        let batch = self.watch(newest, &progress, &mut watch).await.ok()?;
         position.reset();
         if position.advance(batch.era, batch.next) == Reading::Restored {
             self.fleet.lock().record_restored();
@@ -405,96 +385,12 @@
         let announcement = self.fleet.lock().next_announcement();
         let sent_at = self.clock.now();
         let announce = self.store.announce(&announcement, self.hosts.location());
-        let announced = timeout(STORE_TIMEOUT, announce).await;
-        let announced =
-            announced.unwrap_or_else(|_| Err(Error::Uncertain("no answer in time".to_owned())));
-        match announced {
+        let mut watch = Watch::changes(sent_at, Duration::ZERO);
+        match self.watch(announce, &Progress::default(), &mut watch).await {
             Ok(()) => self.fleet.lock().record_renewed(sent_at, self.clock.now()),
             Err(error) => log::warn!("event=not_announced error=\"{error}\""),
         }
     }
-
-    /// Reads the changes, or the newest record of each key if the position is unknown.
-    ///
-    /// Returns the batch and how it must be applied, or `None` after a failure or if the store has
-    /// returned from an older copy.
-    async fn read(&self, cursor: &mut Cursor, wait: Duration) -> Option<(Batch, Reading)> {
-        let from = cursor.position.next();
-        let full = from.is_none();
-        let sent_at = self.clock.now();
-        let call = async {
-            match cursor.position.next() {
-                None => self.store.read_newest(cursor.topic).await,
-                Some(from) => self.store.read_changes(cursor.topic, from, wait).await,
-            }
-        };
-        let limit = if full {
-            cursor.full_timeout
-        } else {
-            wait + STORE_TIMEOUT
-        };
-        let read = timeout(limit, call).await.unwrap_or_else(|_| {
-            if full {
-                cursor.full_timeout = (cursor.full_timeout * 2).min(FULL_TIMEOUT_LONGEST);
-            }
-            Err(Error::Uncertain("no answer in time".to_owned()))
-        });
-        match read {
-            Ok(batch) => {
-                observe::count_store_call(cursor.topic.as_str(), "read");
-                cursor.backoff = BACKOFF_FIRST;
-                cursor.full_timeout = FULL_TIMEOUT_FIRST;
-                let reading = cursor.position.advance(batch.era, batch.next);
-                if reading == Reading::Discard {
-                    self.handle_restore(cursor.topic, batch.era);
-                    return None;
-                }
-                if cursor.failing_since.take().is_some() {
-                    log::info!("event=store_regained topic={}", cursor.topic.as_str());
-                }
-                // A read that has waited in vain tells that there was nothing new until its end.
-                let waited = if batch.records.is_empty() {
-                    wait
-                } else {
-                    Duration::ZERO
-                };
-                let current_at = (sent_at + waited).min(self.clock.now());
-                cursor.turn.confirm(current_at);
-                if let (Some(from), Reading::Changes) = (from, reading) {
-                    let age = self.clock.now().since(current_at);
-                    let report = report::build(cursor.shared, from, &batch, age);
-                    self.hosts.report(report).await;
-                }
-                Some((batch, reading))
-            }
-            Err(Error::Truncated) => {
-                log::info!("event=truncated topic={}", cursor.topic.as_str());
-                cursor.position.reset();
-                None
-            }
-            Err(error) => {
-                observe::count_store_call(cursor.topic.as_str(), "failed");
-                if cursor.failing_since.is_none() {
-                    let topic = cursor.topic.as_str();
-                    log::warn!("event=store_lost topic={topic} error=\"{error}\"");
-                    cursor.failing_since = Some(self.clock.now());
-                }
-                sleep(cursor.backoff).await;
-                cursor.backoff = (cursor.backoff * 2).min(BACKOFF_LONGEST);
-                None
-            }
-        }
-    }
-}
-
-impl Follower {
-    /// Called by the first reader that sees another era of the store.
-    fn handle_restore(&self, topic: Topic, era: Option<u64>) {
-        let topic = topic.as_str();
-        observe::count_restore(topic);
-        log::warn!("event=store_restored topic={topic} era={era:?}");
-        self.restored.notify_one();
-    }
 }
 
 fn log_skipped(topic: Topic, key: &str, reason: &str) {
