Bound waits at the store by the limit for configurations (CONFIG)

Cause: a read waited at the store for the apply limit and 0.5 s more, and was given up 0.7 s later, so a lost connection was noticed after 3.2 s where the limit is 2 s. The next call could take another lost connection.

Change: a read waits for the apply limit less what another try takes, 1 s instead of 2.5 s by default. After a call without a response the idle connections to the store are closed.

--- a/crates/kernel/src/read.rs
+++ b/crates/kernel/src/read.rs
@@ -11,6 +11,8 @@
 
 /// Longest time without a byte of a response that needs no preparation by the store.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time that a second try needs after a read was given up: a wait, a new connection and the response.
+const RETRY_TIME: Duration = Duration::from_millis(300);
 /// Time between a probe without a response and the next one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest first wait for a byte of the newest record of each key from a store that responds to probes.
@@ -31,6 +33,15 @@
 /// Longest wait between two reads while the store fails.
 pub const BACKOFF_LONGEST: Duration = Duration::from_millis(600);
 
+/// Returns how long a read may wait at the store for changes that must be known within `limit`: if no
+/// response comes, there is time for another read.
+#[must_use]
+pub fn longest_wait(limit: Duration) -> Duration {
+    limit
+        .saturating_sub(RESPONSE_TIMEOUT + RETRY_TIME)
+        .max(limit / 2)
+}
+
 /// What to do about a read that is not complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/crates/kernel/tests/read.rs
+++ b/crates/kernel/tests/read.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertstage_kernel::clock::Instant;
-use filbertstage_kernel::read::{RESPONSE_TIMEOUT, Retry, Step, Watch};
+use filbertstage_kernel::read::{self, RESPONSE_TIMEOUT, Retry, Step, Watch};
 use rstest::rstest;
 
 /// Time within which a change must be known.
@@ -75,6 +75,7 @@
 #[rstest]
 #[case::newest(Read::Newest)]
 #[case::changes(Read::Changes(Duration::ZERO))]
+#[case::changes_that_wait(Read::Changes(read::longest_wait(LIMIT)))]
 fn a_silent_store_is_read_again_within_the_limit_after_its_return(#[case] read: Read) {
     let began = Instant::from_millis(10_000);
     for silence in (10..20_000).step_by(10).map(Duration::from_millis) {
@@ -91,6 +92,25 @@
     }
 }
 
+/// Guards against a read that waits for changes on a lost connection for longer than they may take.
+#[rstest]
+#[case(2_000)]
+#[case(3_000)]
+#[case(10_000)]
+fn changes_on_a_lost_connection_are_read_again_within_the_limit(#[case] limit: u64) {
+    let limit = Duration::from_millis(limit);
+    let began = Instant::from_millis(10_000);
+    let wait = read::longest_wait(limit);
+    assert!(wait >= limit / 2, "the store is not to be asked more often");
+    let watch = Watch::changes(began, wait);
+    let Step::Wait(given_up_at) = watch.step(began) else {
+        panic!("the read is waited for");
+    };
+    let pause = Retry::default().record_failure(&watch, given_up_at);
+    let age = given_up_at.since(began) + pause + RESPONSE;
+    assert!(age < limit, "{age:?}");
+}
+
 /// Guards against a slow response that is taken for a silent store, and asked for again and again.
 #[test]
 fn a_response_is_waited_for_as_long_as_bytes_arrive() {
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -240,6 +240,10 @@
     /// Asks for little, to find out whether the store responds.
     async fn probe(&self) -> Result<(), Error>;
 
+    /// Closes the connections that wait for their next call. Called after a call got no response, since
+    /// they may have been lost together.
+    fn close_idle(&self);
+
     /// Publishes this host's announcement and where it runs.
     async fn announce(&self, announcement: &Announcement, location: &Location)
     -> Result<(), Error>;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,7 +11,7 @@
 use kernel::fleet::{self, Fleet};
 use kernel::name::Endpoint;
 use kernel::position::{Position, Reading, Report};
-use kernel::read::{BACKOFF_LONGEST, Watch};
+use kernel::read::{self, BACKOFF_LONGEST, Watch};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -29,9 +29,6 @@
 use crate::settings::Admission;
 use cursor::Cursor;
 
-/// A read of configurations waits at the store for the apply limit plus this time. A connection
-/// that no longer responds is detected only after that wait.
-const CONFIGURATION_READ_SLACK: Duration = Duration::from_millis(500);
 /// Number of hosts of a failure domain that wait at the store for new configurations. The others
 /// learn of them from these.
 const POLLING_HOSTS: usize = 2;
@@ -126,6 +123,7 @@
                 read = self.next_configurations(&mut cursor) => read,
                 () = self.peer_version.wait_until_behind(&self.registry), if is_known => {
                     // The connection of the pending read may be broken. Start a new read.
+                    self.store.close_idle();
                     cursor.is_behind = true;
                     continue;
                 }
@@ -166,7 +164,7 @@
             // Other hosts of the domain depend on frequent confirmations.
             self.apply_limit / 2
         } else {
-            self.apply_limit + CONFIGURATION_READ_SLACK
+            read::longest_wait(self.apply_limit)
         };
         self.read(cursor, wait).await
     }
--- a/crates/relay/src/follow/cursor.rs
+++ b/crates/relay/src/follow/cursor.rs
@@ -111,7 +111,8 @@
         }
     }
 
-    /// Waits for the response to `call` for as long as `watch` allows.
+    /// Waits for the response to `call` for as long as `watch` allows. Closes the idle connections to the
+    /// store if the call is given up.
     pub(super) async fn watch<T>(
         &self,
         call: impl Future<Output = Result<T, Error>>,
@@ -135,6 +136,7 @@
                     responded = self.probe_store() => watch.record_probe(responded, self.clock.now()),
                 },
                 Step::GiveUp => {
+                    self.store.close_idle();
                     return Err(Error::Uncertain("no response in time".to_owned()));
                 }
             }
@@ -148,6 +150,9 @@
             Ok(Ok(()))
         );
         observe::count_store_call("probe", if responded { "read" } else { "failed" });
+        if !responded {
+            self.store.close_idle();
+        }
         responded
     }
 
