--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -7,7 +7,6 @@
 
 use adapter::names;
 use async_trait::async_trait;
-use bytes::Bytes;
 use http::header::RETRY_AFTER;
 use http::{HeaderValue, Response, StatusCode};
 use parking_lot::Mutex;
@@ -16,6 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
+use super::events::{padded_event, trickle};
 use super::fault::Fault;
 use super::http1::{Handler, Request, json_response};
 use super::{EVENT_TOKENS, KV_CACHE_TOKENS};
@@ -297,6 +297,10 @@
         let helpers = request.header(&names::HELPERS);
         let engines = helpers.map_or(1, |list| list.split(',').count() as u64 + 1);
         let lethal = self.is_lethal(request);
+        let padding = match fault {
+            Some(Fault::Large(bytes)) => bytes,
+            _ => 0,
+        };
         let (sender, receiver) = mpsc::channel(1);
         let endpoint = Arc::clone(self);
         tokio::spawn(async move {
@@ -330,7 +334,7 @@
                     }
                     _ => {}
                 }
-                if sender.send(Ok(stream_event(event))).await.is_err() {
+                if sender.send(Ok(padded_event(event, padding))).await.is_err() {
                     return;
                 }
             }
@@ -348,28 +352,12 @@
 /// Time for which a plain endpoint runs a lethal request before it crashes.
 const TIME_TO_CRASH: Duration = Duration::from_millis(40);
 
-/// Sends bytes that never complete an event until the client has disconnected.
-async fn trickle(sender: &mpsc::Sender<Result<Bytes, Error>>) {
-    while sender.send(Ok(Bytes::from_static(b"i"))).await.is_ok() {
-        sleep(TRICKLE_INTERVAL).await;
-    }
-}
-
-/// Time between two bytes of an engine that stalls.
-const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Returns the time to prefill a prompt on one engine: 4 µs per token and 92 µs per million pairs
 /// of tokens.
 fn prefill_time(prompt_tokens: u64) -> Duration {
     Duration::from_micros(prompt_tokens * 4 + prompt_tokens * prompt_tokens / 2 / 1_000_000 * 92)
 }
 
-/// Returns the event with number `index`, from one. All streams send the same events.
-#[must_use]
-pub fn stream_event(index: u64) -> Bytes {
-    format!("id: {index}\ndata: piece {index}\n\n").into()
-}
-
 /// Builds the response to a request that was not run.
 fn rejection(fault: Option<Fault>) -> Response<Body> {
     let mut response = json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
--- a/crates/fakes/src/site/fault.rs
+++ b/crates/fakes/src/site/fault.rs
@@ -33,7 +33,8 @@
     RefuseAnother,
     /// Runs the request and responds with status 500.
     Fail,
-    /// Runs the call and responds with a body of this many bytes.
+    /// Runs the request and responds with a body of this many bytes, or with so many more in each event of
+    /// a stream.
     Large(usize),
     /// Runs the request and responds with this status, which promises that it has not run.
     Deny(u16),
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! names. Engines take the time that the published cost formula gives, divided by a scale factor.
 
 mod endpoint;
+mod events;
 mod fault;
 mod http1;
 mod link;
@@ -15,7 +16,8 @@
 
 use serde_json::json;
 
-pub use endpoint::{Endpoint, Run, stream_event};
+pub use endpoint::{Endpoint, Run};
+pub use events::stream_event;
 pub use fault::Fault;
 pub use http1::Server;
 pub use link::{LinkState, View};
--- a/crates/kernel/src/connection.rs
+++ b/crates/kernel/src/connection.rs
@@ -4,9 +4,42 @@
 //! connections that are kept open without requests cannot shut out new callers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::clock::Instant;
 
+/// Steps in which the time-out of a connection changes, so that the system is not told of each change.
+const TIMEOUT_STEP: Duration = Duration::from_secs(1);
+
+/// For how long the peer of a connection may stop to read what was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pause {
+    /// No longer than it takes to notice that the peer is gone.
+    #[default]
+    None,
+    /// Each time for this long.
+    For(Duration),
+    /// Until this time.
+    Until(Instant),
+}
+
+impl Pause {
+    /// Returns the time after which a connection is closed if what was sent is not read. It is never less
+    /// than `least`, in which a peer that is gone is noticed.
+    #[must_use]
+    pub fn timeout(self, now: Instant, least: Duration) -> Duration {
+        let allowed = match self {
+            Self::None => Duration::ZERO,
+            Self::For(time) => time,
+            Self::Until(end) => {
+                let steps = end.since(now).div_duration_f64(TIMEOUT_STEP).ceil();
+                TIMEOUT_STEP.mul_f64(steps)
+            }
+        };
+        allowed.max(least)
+    }
+}
+
 /// Identifies a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(u64);
--- a/crates/kernel/tests/connection.rs
+++ b/crates/kernel/tests/connection.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertstage_kernel::connection::{Admission, Id, Table};
+use filbertstage_kernel::connection::{Admission, Id, Pause, Table};
 use filbertstage_kernel::prelude::*;
 
 const START: Instant = Instant::from_millis(1_000);
@@ -58,3 +58,24 @@
     assert_eq!(table.open(), 0);
     assert_eq!(table.close_idle(), None);
 }
+
+/// Guards against a stream that is cut off because its client pauses, and against one that is kept open
+/// beyond the request's deadline because the client never reads.
+#[test]
+fn a_pause_is_allowed_until_the_deadline_and_never_less_than_a_lost_peer_takes() {
+    const LEAST: Duration = Duration::from_millis(1_500);
+    let deadline = Instant::from_millis(20_000);
+    let timeout_at = |millis| {
+        let now = Instant::from_millis(millis);
+        Pause::Until(deadline).timeout(now, LEAST)
+    };
+    assert_eq!(timeout_at(10_000), Duration::from_secs(10));
+    assert_eq!(timeout_at(10_001), Duration::from_secs(10));
+    assert_eq!(timeout_at(17_400), Duration::from_secs(3));
+    assert_eq!(timeout_at(19_400), LEAST);
+    assert_eq!(timeout_at(21_000), LEAST);
+    let now = Instant::from_millis(21_000);
+    assert_eq!(Pause::None.timeout(now, LEAST), LEAST);
+    let idle = Duration::from_secs(15);
+    assert_eq!(Pause::For(idle).timeout(now, LEAST), idle);
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -4,12 +4,11 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use kernel::clock::Instant;
-use kernel::connection::{Admission, Id, Table};
+use kernel::connection::{Admission, Id, Pause, Table};
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -66,7 +65,7 @@
             }),
             changed: Notify::new(),
             evicted: Notify::new(),
-            read_pause: AtomicU64::new(0),
+            read_pause: Mutex::default(),
         });
         self.members.lock().insert(id, Arc::clone(&connection));
         Some(connection)
@@ -117,8 +116,8 @@
     changed: Notify,
     /// Notified when the connection has to make room.
     evicted: Notify,
-    /// Milliseconds for which the client may stop to read the response, while nothing runs for it.
-    read_pause: AtomicU64,
+    /// For how long the client may stop to read the response.
+    read_pause: Mutex<Pause>,
 }
 
 /// Maximum times of a connection without a request.
@@ -137,7 +136,7 @@
         let mut activity = self.activity.lock();
         activity.running += 1;
         activity.is_reading = true;
-        self.read_pause.store(0, Ordering::Relaxed);
+        *self.read_pause.lock() = Pause::None;
         activity.head_since = None;
         self.connections.table.lock().record_idle(self.id, now);
         !std::mem::replace(&mut activity.served, true)
@@ -153,17 +152,15 @@
         }
     }
 
-    /// Lets the client stop to read for `pause`. The response is complete, so that no endpoint works for
-    /// a client that may be gone.
-    pub fn allow_read_pause(&self, pause: Duration) {
-        let pause = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-        self.read_pause.store(pause, Ordering::Relaxed);
+    /// Lets the client stop to read the response that begins now.
+    pub fn allow_read_pause(&self, pause: Pause) {
+        *self.read_pause.lock() = pause;
     }
 
     /// Time after which the system closes the connection if what was sent is not read.
     fn user_timeout(&self) -> Duration {
-        let pause = Duration::from_millis(self.read_pause.load(Ordering::Relaxed));
-        pause.max(USER_TIMEOUT)
+        let pause = *self.read_pause.lock();
+        pause.timeout(self.connections.clock.now(), USER_TIMEOUT)
     }
 
     /// Records that a request has ended.
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -10,6 +10,7 @@
 use kernel::balance::Balancer;
 use kernel::catalogue::{Denied, Entry, Kind, Route};
 use kernel::clock::Instant;
+use kernel::connection::Pause;
 use kernel::name::{Domain, Host, Service};
 use kernel::patience::Patience;
 use kernel::quarantine::Suspect;
@@ -234,7 +235,14 @@
         Ok(accepted) if stages.has_reached(Stage::Closing) => {
             refuse_at_shutdown(&accepted.metadata)
         }
-        Ok(accepted) => return serve_until_exit(pipeline, accepted).await,
+        Ok(accepted) => {
+            let pause = Pause::Until(accepted.deadline);
+            let response = serve_until_exit(pipeline, accepted).await;
+            if matches!(response.body(), Body::Events(_)) {
+                connection.allow_read_pause(pause);
+            }
+            return response;
+        }
         Err(refusal) => refusal,
     };
     observe::count_request(None, refusal.status());
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use kernel::connection::Pause;
 use kernel::detour;
 use shutdown::{Shutdown, Stage, Work};
 use tokio::net::{TcpListener, TcpStream};
@@ -282,7 +283,9 @@
             pipeline::handle(pipeline, request, origin, &active.connection).await
         };
         if matches!(response.body(), Body::Whole(_)) {
-            active.connection.allow_read_pause(self.limits().idle);
+            // No endpoint works for the client, which may be gone.
+            let pause = Pause::For(self.limits().idle);
+            active.connection.allow_read_pause(pause);
         }
         if self.shutdown().has_reached(Stage::Draining) {
             let close = HeaderValue::from_static("close");
