Accept fractions and missing values in rendered settings (Fault)

Cause: the template wrote three zeros behind a figure in seconds, 7.5000, and whole milliseconds and counts could not be fractions at all. A figure without a value left the file without a number where JSON needs one.

Change: times.grace_s and retry.window_s take seconds. Numbers may be fractions, which are rounded down for milliseconds and counts, and texts; the template writes texts, of which an empty one keeps the default.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -9,7 +9,7 @@
 use kernel::place::policy::Choice;
 use kernel::place::value::Weights;
 use serde::{Deserialize, Serialize};
-use settings::{Document, Problems};
+use settings::{Document, Problems, number};
 
 /// All settings of a host.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -66,10 +66,16 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Retry {
     /// Retries that are allowed for each first attempt.
+    #[serde(deserialize_with = "number::real")]
     pub ratio: f64,
     /// Retries that are allowed within the window in addition to `ratio` for each first attempt.
+    #[serde(deserialize_with = "number::real")]
     pub floor: f64,
+    /// Seconds of the sliding window, instead of `window_ms`.
+    #[serde(deserialize_with = "number::optional")]
+    pub window_s: Option<f64>,
     /// Milliseconds of the sliding window in which retries and first attempts are counted.
+    #[serde(deserialize_with = "number::whole")]
     pub window_ms: u64,
 }
 
@@ -128,17 +134,25 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Times {
+    /// Seconds from SIGTERM to SIGKILL, instead of `grace_ms`.
+    #[serde(deserialize_with = "number::optional")]
+    pub grace_s: Option<f64>,
     /// Milliseconds from SIGTERM to SIGKILL.
+    #[serde(deserialize_with = "number::whole")]
     pub grace_ms: u64,
     /// Milliseconds within which a configuration must be in force after its publication.
+    #[serde(deserialize_with = "number::whole")]
     pub apply_ms: u64,
     /// Milliseconds within which requests to an endpoint must stop after it starts to drain.
+    #[serde(deserialize_with = "number::whole")]
     pub drain_ms: u64,
     /// Milliseconds between two writes of an endpoint's entry in the store, which removes the entry
     /// after [`MISSED_HEARTBEATS`] of them.
+    #[serde(deserialize_with = "number::whole")]
     pub heartbeat_ms: u64,
     /// Milliseconds within which requests to the endpoints of a failure domain must stop after its
     /// evacuation is published.
+    #[serde(deserialize_with = "number::whole")]
     pub evacuation_ms: u64,
 }
 
@@ -164,8 +178,10 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Resources {
     /// Memory of the machine in MB. If it is 0, the system is asked.
+    #[serde(deserialize_with = "number::whole")]
     pub memory_mb: u64,
     /// Maximum number of open descriptors. If it is 0, the system is asked.
+    #[serde(deserialize_with = "number::whole")]
     pub descriptors: u64,
 }
 
@@ -260,6 +276,7 @@
         Self {
             ratio: 0.2,
             floor: 100.0,
+            window_s: None,
             window_ms: 10_000,
         }
     }
@@ -268,14 +285,16 @@
 impl Retry {
     /// Returns the length of the sliding window.
     #[must_use]
-    pub const fn window(&self) -> Duration {
-        Duration::from_millis(self.window_ms)
+    pub fn window(&self) -> Duration {
+        let seconds = self.window_s.map(Duration::from_secs_f64);
+        seconds.unwrap_or(Duration::from_millis(self.window_ms))
     }
 }
 
 impl Default for Times {
     fn default() -> Self {
         Self {
+            grace_s: None,
             grace_ms: 8_000,
             apply_ms: 2_000,
             drain_ms: 2_000,
@@ -319,7 +338,7 @@
             "missing: give the address of the platform's store",
         );
         require(
-            tree.retry.window_ms > 0,
+            !tree.retry.window().is_zero(),
             "retry.window_ms",
             "zero: give the length of the window in milliseconds",
         );
@@ -390,7 +409,8 @@
 
     /// Returns the time from SIGTERM to SIGKILL.
     #[must_use]
-    pub const fn grace(&self) -> Duration {
-        Duration::from_millis(self.times.grace_ms)
+    pub fn grace(&self) -> Duration {
+        let seconds = self.times.grace_s.map(Duration::from_secs_f64);
+        seconds.unwrap_or(Duration::from_millis(self.times.grace_ms))
     }
 }
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -82,10 +82,12 @@
     }
 
     /// Deserializes the document. A key with an unknown name or an invalid value keeps its default
-    /// and is reported as a problem.
+    /// and is reported as a problem. A key with an empty text counts as left out, since that is what a
+    /// template renders for a value that is missing.
     #[must_use]
     pub fn deserialize<T: DeserializeOwned + Default>(&self) -> (T, Vec<Problem>) {
         let mut value = Value::from(self.root.clone());
+        remove_empty(&mut value);
         let mut problems = Vec::new();
         loop {
             let error = match serde_path_to_error::deserialize(&value) {
@@ -148,6 +150,14 @@
         .filter(|segment| !segment.is_empty())
 }
 
+/// Removes all keys with empty texts.
+fn remove_empty(value: &mut Value) {
+    if let Value::Object(object) = value {
+        object.retain(|_, value| value.as_str() != Some(""));
+        object.values_mut().for_each(remove_empty);
+    }
+}
+
 /// Removes the value at `path`. Returns false if there is none.
 fn remove_value(value: &mut Value, path: &str) -> bool {
     let mut segments: Vec<_> = path_segments(path).collect();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod changes;
 mod document;
+pub mod number;
 
 pub use changes::changed_keys;
 pub use document::{Document, Problem, Problems};
