--- a/crates/provider/src/http/mod.rs
+++ b/crates/provider/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod listener;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{PoisonError, RwLock};
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a response body for which the caller sets no limit, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
+/// Statuses that end an exchange. HTTP defines none from 600 on, and no request asks for another protocol
+/// (101).
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Memory for the responses of a client without a given account, in bytes.
 const BUFFER_BYTES: u64 = 32 * 1_024 * 1_024;
 
@@ -129,7 +133,7 @@
             .clone()
     }
 
-    /// Sends a request and returns the head of the response, whatever its status.
+    /// Sends a request and returns the head of the response, whatever its final status.
     ///
     /// # Errors
     ///
@@ -146,7 +150,14 @@
         }
         let response = request.body(Body::from(call.body)).send();
         match tokio::time::timeout(timeout, response).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                let status = response.status().as_u16();
+                if FINAL_STATUSES.contains(&status) {
+                    Ok(response)
+                } else {
+                    Err(Error::Broken(format!("{status} is no final status")))
+                }
+            }
             Ok(Err(error)) => Err(classify(&error)),
             Err(_) => {
                 self.close_idle();
--- a/crates/relay/src/transport/mod.rs
+++ b/crates/relay/src/transport/mod.rs
@@ -10,6 +10,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -37,6 +38,9 @@
 pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Statuses that end an exchange. HTTP defines none from 600 on, and no request asks for another protocol
+/// (101).
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Maximum buffer size of a connection, in bytes; hyper's minimum.
 const MAX_BUFFER_BYTES: usize = 8 * 1_024;
 /// Bytes that the system receives ahead on a connection, before they are read. It would let this grow
@@ -349,6 +353,10 @@
         return Err(SendError::Unsent("the connection is closed".to_owned()));
     };
     match sender.try_send_request(request).await {
+        Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+            let status = response.status().as_u16();
+            Err(SendError::Uncertain(format!("{status} is no final status")))
+        }
         Ok(response) => {
             let (head, incoming) = response.into_parts();
             Ok(Exchange {
