--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use buffer::Limits;
+use buffer::events::Reader;
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
@@ -23,7 +24,6 @@
 use crate::attempts::{Attempts, GiveUp};
 use crate::body::{Body, Error};
 use crate::budget::Draw;
-use crate::events::Reader;
 use crate::headers::{Format, end_to_end, error_response};
 use crate::link::Links;
 use crate::loan;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,7 +16,6 @@
 mod connection;
 mod detour;
 mod evacuation;
-mod events;
 mod evidence;
 mod exchange;
 mod fingerprint;
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use buffer::events::Reader;
 use bytes::Bytes;
 use kernel::outlier::Observation;
 use tokio::sync::mpsc;
@@ -14,7 +15,6 @@
 use crate::body::Error;
 use crate::broken;
 use crate::detour;
-use crate::events::Reader;
 use crate::observe;
 use crate::path::Watch;
 use crate::transport::Exchange;
