Let events wait for a client that pauses, so that its engine goes on

Callers would see: a client that stopped to read its stream held its engine up once four chunks waited for it. Engines have few places, and may break off responses that are not read for some seconds, which then ends the stream.

Cause: the queue between an engine and a client had four places.

Streams of other hosts wait in the same queue.

--- a/crates/buffer/src/events.rs
+++ b/crates/buffer/src/events.rs
@@ -6,9 +6,8 @@
 
 use crate::{Buffers, Hold};
 
-/// Size up to which events that wait for a slow client are not counted, in bytes. Only a few wait for
-/// each client.
-const FREE_BYTES: usize = 4 * 1_024;
+/// Size up to which events are returned without a hold on the memory, in bytes.
+pub const FREE_BYTES: usize = 4 * 1_024;
 
 quick_error! {
     /// Why a stream cannot go on.
--- a/crates/buffer/src/hold.rs
+++ b/crates/buffer/src/hold.rs
@@ -175,18 +175,18 @@
 
     /// Ties the hold to bytes: it ends with the last reference to them.
     #[must_use]
-    pub fn attach(self, bytes: Vec<u8>) -> Bytes {
+    pub fn attach<T: AsRef<[u8]> + Send + 'static>(self, bytes: T) -> Bytes {
         Bytes::from_owner(Held { bytes, _hold: self })
     }
 }
 
-struct Held {
-    bytes: Vec<u8>,
+struct Held<T> {
+    bytes: T,
     _hold: Hold,
 }
 
-impl AsRef<[u8]> for Held {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -10,13 +10,11 @@
 
 use buffer::Limits;
 use buffer::events::Reader;
-use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use kernel::detour::Wanted;
 use kernel::loan::{Loan, Report};
 use kernel::name::Host;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::accepted::Accepted;
@@ -30,12 +28,11 @@
 use crate::observe;
 use crate::pipeline::Pipeline;
 use crate::plain::{MAX_RESPONSE_BYTES, NO_ROOM, UNPROVEN_REFUSAL, build_response};
+use crate::queue;
 use crate::transport::{Exchange, Failure};
 
 /// Maximum number of hosts that are asked to serve one request.
 const MAX_HOSTS: usize = 2;
-/// Maximum number of chunks of a stream that wait for a slow client.
-const MAX_BUFFERED_CHUNKS: usize = 4;
 /// Time that is left to answer the client when the other host does not.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Time beyond a multiple of the objective, or beyond the allowed pause, after which another host
@@ -117,7 +114,7 @@
         Asked::Response(response) => return Some(response),
         Asked::Nobody => return None,
     };
-    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (sender, receiver) = queue::open();
     let mut response = Response::new(Body::Events(receiver));
     *response.status_mut() = upstream.exchange.head.status;
     *response.headers_mut() = end_to_end(&upstream.exchange.head.headers);
@@ -360,7 +357,7 @@
     /// Format of the response, whose head the client has.
     format: Option<Format>,
     reader: Reader,
-    sender: mpsc::Sender<Result<Bytes, Error>>,
+    sender: queue::Sender,
     asked: Vec<Host>,
 }
 
@@ -372,7 +369,7 @@
         attempts: Attempts,
         format: Option<Format>,
         reader: Reader,
-        sender: mpsc::Sender<Result<Bytes, Error>>,
+        sender: queue::Sender,
     ) -> Self {
         Self {
             pipeline,
@@ -478,7 +475,8 @@
                 continue;
             }
             limit = pause;
-            if self.sender.send(Ok(events)).await.is_err() {
+            let sent = queue::send(&self.sender, &self.pipeline.buffers, events).await;
+            if sent.is_err() {
                 return Ok(());
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod placer;
 mod plain;
 mod quarantine;
+mod queue;
 mod registry;
 mod relay;
 mod report;
--- a/crates/relay/src/stream/forward.rs
+++ b/crates/relay/src/stream/forward.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use buffer::events::Reader;
-use bytes::Bytes;
 use kernel::outlier::Observation;
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use super::{FIRST_EVENT_SLACK, Session, Upstream};
@@ -17,6 +15,7 @@
 use crate::detour;
 use crate::observe;
 use crate::path::Watch;
+use crate::queue;
 use crate::transport::Exchange;
 
 /// Time beyond the allowed pause after which an engine counts as unresponsive; clients disconnect
@@ -44,11 +43,7 @@
 
 impl Session {
     /// Relays a stream to its end, from several engines where needed.
-    pub(super) async fn relay(
-        mut self,
-        mut upstream: Upstream,
-        sender: mpsc::Sender<Result<Bytes, Error>>,
-    ) {
+    pub(super) async fn relay(mut self, mut upstream: Upstream, sender: queue::Sender) {
         let resume_after = self.accepted.metadata.resume_after.as_deref();
         let mut reader = Reader::resume_after(resume_after, &self.pipeline.buffers);
         let resumable = self.accepted.route.resumable;
@@ -141,7 +136,7 @@
     }
 
     /// Relays the rest of a resumable stream from other hosts.
-    async fn continue_elsewhere(self, reader: Reader, sender: mpsc::Sender<Result<Bytes, Error>>) {
+    async fn continue_elsewhere(self, reader: Reader, sender: queue::Sender) {
         let pipeline = Arc::clone(&self.pipeline);
         let rest = detour::Rest::new(
             pipeline,
@@ -165,9 +160,10 @@
         &mut self,
         upstream: &mut Upstream,
         reader: &mut Reader,
-        sender: &mpsc::Sender<Result<Bytes, Error>>,
+        sender: &queue::Sender,
     ) -> Option<End> {
         let resume_after = reader.last_id().map(str::to_owned);
+        let buffers = self.pipeline.buffers.clone();
         let opened = {
             let opening = self.open(resume_after.as_deref());
             tokio::pin!(opening);
@@ -186,9 +182,10 @@
                     // Only a whole event shows that the engine goes on.
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => {
-                        return Some(match sender.send(Ok(events)).await {
+                        let sent = queue::send(sender, &buffers, events).await;
+                        return Some(match sent {
                             Ok(()) => End::Unresponsive,
-                            Err(_) => End::ClientDisconnected,
+                            Err(queue::Closed) => End::ClientDisconnected,
                         });
                     }
                     Err(defect) => return Some(End::Broken(defect.to_string())),
@@ -246,7 +243,7 @@
         &self,
         upstream: &mut Upstream,
         reader: &mut Reader,
-        sender: &mpsc::Sender<Result<Bytes, Error>>,
+        sender: &queue::Sender,
         wait_until_deadline: bool,
     ) -> End {
         let mut started = false;
@@ -312,7 +309,8 @@
                 upstream.placement.record_first_event(elapsed);
                 self.log_first_event(upstream.placement.plan.first_event);
             }
-            if sender.send(Ok(events)).await.is_err() {
+            let sent = queue::send(sender, &self.pipeline.buffers, events).await;
+            if sent.is_err() {
                 return End::ClientDisconnected;
             }
             waiting_since = self.pipeline.clock.now();
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -15,7 +15,6 @@
 use kernel::place::Request;
 use kernel::place::value::Origin;
 use shutdown::Stage;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::accepted::{self, Accepted};
@@ -30,15 +29,13 @@
     MISMATCHED_RESPONSE, NO_CONNECTION, UNPROVEN_REFUSAL, UNSIGNED_RESPONSE, build_response,
 };
 use crate::quarantine::Admission;
+use crate::queue;
 use crate::reservation::{self, Reservations};
 use crate::transport::{Exchange, Failure};
 
 /// Time beyond twice the predicted time to the first event after which an engine counts as
 /// unresponsive.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_200);
-/// Maximum number of event chunks that wait for a slow client. While this many wait, the engine's
-/// stream is not read.
-const MAX_BUFFERED_EVENTS: usize = 4;
 /// Maximum body size of an engine's error response that is forwarded, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1_024;
 /// Logged reason for a resumed stream that is no part of the response that has begun.
@@ -142,7 +139,7 @@
             // The host that lent the attempts has got back what is left, and resumes the stream itself.
             self.attempts.exhaust();
         }
-        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
+        let (sender, receiver) = queue::open();
         let mut response = Response::new(Body::Events(receiver));
         *response.status_mut() = upstream.exchange.head.status;
         *response.headers_mut() = end_to_end(&upstream.exchange.head.headers);
