Apply reports of other hosts while the store fails a host that is behind

Cause: a host that knows of a newer version than its own read the store only, also when the store failed it and the version came in the report of another host of its domain. Change: after a failed read, reports are taken again. Measured: platform/tests/silent_store.rs passes as before.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -149,7 +149,8 @@
     }
 
     async fn next_configurations(&self, cursor: &mut Cursor) -> Option<(Batch, Reading)> {
-        if cursor.is_behind {
+        // While the store fails, reports of other hosts may bring the version.
+        if cursor.is_behind && cursor.failing_since.is_none() {
             return self.read(cursor, Duration::ZERO).await;
         }
         let rank = self.hosts.rank(cursor.topic);
