Close a connection that makes room before the next one is accepted

Cause: a connection that had to make room no longer counted, and waited 50 ms for the rest of its first head before it was closed. New ones were accepted faster than old ones closed.

Change: it closes without that wait, and the next one is accepted when it has closed, or after 5 ms.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -37,16 +37,14 @@
         })
     }
 
-    /// Adds a new connection; `None` if it is to be closed.
-    pub fn admit(self: &Arc<Self>) -> Option<Arc<Connection>> {
+    /// Adds a new connection; `None` if it is to be closed. Also returns the connection that has to make
+    /// room for it, if any.
+    pub fn admit(self: &Arc<Self>) -> Option<(Arc<Connection>, Option<Arc<Connection>>)> {
         let now = self.clock.now();
         let admission = self.table.lock().admit(now);
-        let id = match admission {
-            Admission::Admitted(id) => id,
-            Admission::Instead { admitted, closed } => {
-                self.close(closed);
-                admitted
-            }
+        let (id, replaced) = match admission {
+            Admission::Admitted(id) => (id, None),
+            Admission::Instead { admitted, closed } => (admitted, self.close(closed)),
             Admission::Refused => {
                 observe::count_closed_connection("refused");
                 return None;
@@ -65,10 +63,11 @@
             }),
             changed: Notify::new(),
             evicted: Notify::new(),
+            ended: Notify::new(),
             read_pause: Mutex::default(),
         });
         self.members.lock().insert(id, Arc::clone(&connection));
-        Some(connection)
+        Some((connection, replaced))
     }
 
     /// Closes the connection that has been idle for the longest time, to free its descriptor.
@@ -79,13 +78,13 @@
         }
     }
 
-    fn close(&self, id: Id) {
+    fn close(&self, id: Id) -> Option<Arc<Connection>> {
         observe::count_closed_connection("evicted");
-        if let Some(connection) = self.members.lock().remove(&id) {
-            connection.activity.lock().is_closed = true;
-            connection.changed.notify_one();
-            connection.evicted.notify_one();
-        }
+        let connection = self.members.lock().remove(&id)?;
+        connection.activity.lock().is_closed = true;
+        connection.changed.notify_one();
+        connection.evicted.notify_one();
+        Some(connection)
     }
 
     /// Number of open connections.
@@ -116,6 +115,8 @@
     changed: Notify,
     /// Notified when the connection has to make room.
     evicted: Notify,
+    /// Notified when the connection is closed.
+    ended: Notify,
     /// For how long the client may stop to read the response.
     read_pause: Mutex<Pause>,
 }
@@ -196,6 +197,11 @@
         self.activity.lock().served
     }
 
+    /// Whether the connection has to make room for others.
+    pub fn makes_room(&self) -> bool {
+        self.activity.lock().is_closed
+    }
+
     /// Returns when the body that is being read has to make room for another connection.
     pub async fn wait_until_evicted(&self) {
         loop {
@@ -241,6 +247,12 @@
     pub fn end(&self) {
         self.connections.table.lock().remove(self.id);
         self.connections.members.lock().remove(&self.id);
+        self.ended.notify_one();
+    }
+
+    /// Returns when the connection is closed.
+    pub async fn wait_until_ended(&self) {
+        self.ended.notified().await;
     }
 }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -13,7 +13,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use kernel::connection::Pause;
 use kernel::detour;
@@ -43,6 +43,9 @@
 };
 /// Time in which a connection that is to close, and has had no request, may still get its first one.
 const CLOSING_TIME: Duration = Duration::from_millis(50);
+/// Longest delay of the next accept until a connection that makes room is closed. One that has a response
+/// to write may take longer.
+const EVICTION_TIME: Duration = Duration::from_millis(5);
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -186,8 +189,13 @@
                         log::warn!("event=outsider_refused address={address}");
                         continue;
                     }
-                    if let Some(connection) = self.connections(origin).admit() {
-                        tokio::spawn(Arc::clone(&self).serve(stream, connection, origin));
+                    let Some((connection, replaced)) = self.connections(origin).admit() else {
+                        continue;
+                    };
+                    tokio::spawn(Arc::clone(&self).serve(stream, connection, origin));
+                    if let Some(replaced) = replaced {
+                        // Its descriptor may be needed for the next one.
+                        let _ = timeout(EVICTION_TIME, replaced.wait_until_ended()).await;
                     }
                 }
                 Err(error) => {
@@ -222,28 +230,44 @@
             .header_read_timeout(None);
         let stream = TokioIo::new(Watched::new(stream, Arc::clone(&connection)));
         let exchanges = builder.serve_connection(stream, service);
+        let ended = self.run(exchanges, &connection).await;
+        connection.end();
+        if connection.has_served() {
+            self.unwritten.fetch_sub(1, Ordering::SeqCst);
+        }
+        if let Err(error) = ended {
+            log::debug!("event=connection_ended error={error}");
+        }
+    }
+
+    /// Serves the requests on a connection until it is closed.
+    async fn run<S>(
+        &self,
+        exchanges: hyper::server::conn::http1::Connection<TokioIo<Watched>, S>,
+        connection: &Connection,
+    ) -> hyper::Result<()>
+    where
+        S: HttpService<Incoming, ResBody = TrackedBody, Error = Infallible>,
+    {
         tokio::pin!(exchanges);
         let ended = tokio::select! {
             ended = exchanges.as_mut() => Some(ended),
             () = connection.wait_until_idle(|| self.limits()) => None,
-            () = self.wait_until_closing(&connection) => None,
+            () = self.wait_until_closing(connection) => None,
         };
-        let ended = if let Some(ended) = ended {
-            ended
+        if let Some(ended) = ended {
+            return ended;
+        }
+        exchanges.as_mut().graceful_shutdown();
+        // Without a first request, hyper would wait for it.
+        let closing_time = if connection.makes_room() {
+            Duration::ZERO
         } else {
-            exchanges.as_mut().graceful_shutdown();
-            // Without a first request, hyper would wait for it.
-            match timeout(CLOSING_TIME, exchanges.as_mut()).await {
-                Err(_) if connection.has_served() => exchanges.await,
-                ended => ended.unwrap_or(Ok(())),
-            }
+            CLOSING_TIME
         };
-        connection.end();
-        if connection.has_served() {
-            self.unwritten.fetch_sub(1, Ordering::SeqCst);
-        }
-        if let Err(error) = ended {
-            log::debug!("event=connection_ended error={error}");
+        match timeout(closing_time, exchanges.as_mut()).await {
+            Err(_) if connection.has_served() => exchanges.await,
+            ended => ended.unwrap_or(Ok(())),
         }
     }
 
