--- a/crates/kernel/src/read.rs
+++ b/crates/kernel/src/read.rs
@@ -26,7 +26,7 @@
 const MIN_SILENCE_LONGEST: Duration = Duration::from_millis(2_800);
 /// Longest time for all of the newest records.
 const NEWEST_DURATION: Duration = Duration::from_secs(8);
-/// Longest time from the first byte of changes to the last one.
+/// Longest time for changes, beyond the wait for the first one.
 const CHANGES_DURATION: Duration = Duration::from_secs(2);
 /// Wait after the first failed read. Doubles with each further failure up to [`BACKOFF_LONGEST`].
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -223,10 +223,11 @@
 /// usable response arrived.
 #[async_trait]
 pub trait Store: Send + Sync {
-    /// Reads the newest record of each key of a topic.
+    /// Reads the newest record of each key of a topic. `progress` is told of each part of a response.
     async fn read_newest(&self, topic: Topic, progress: &Progress) -> Result<Batch, Error>;
 
-    /// Reads the records from position `from`, waiting up to `wait` for the first one.
+    /// Reads the records from position `from`, waiting up to `wait` for the first one. `progress` is told
+    /// of each part of the response.
     ///
     /// Fails with [`Error::Truncated`] if the store no longer keeps that position.
     async fn read_changes(
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -27,6 +27,14 @@
     members: Mutex<HashMap<Id, Arc<Connection>>>,
 }
 
+/// A new connection that is served.
+pub(crate) struct Admitted {
+    /// The new connection.
+    pub connection: Arc<Connection>,
+    /// The connection that makes room for it.
+    pub replaced: Option<Arc<Connection>>,
+}
+
 impl Connections {
     /// Creates the state of a listener that serves at most `limit` connections.
     pub fn new(limit: usize, clock: Clock) -> Arc<Self> {
@@ -37,9 +45,8 @@
         })
     }
 
-    /// Adds a new connection; `None` if it is to be closed. Also returns the connection that has to make
-    /// room for it, if any.
-    pub fn admit(self: &Arc<Self>) -> Option<(Arc<Connection>, Option<Arc<Connection>>)> {
+    /// Adds a new connection; `None` if it is to be closed.
+    pub fn admit(self: &Arc<Self>) -> Option<Admitted> {
         let now = self.clock.now();
         let admission = self.table.lock().admit(now);
         let (id, replaced) = match admission {
@@ -67,7 +74,10 @@
             read_pause: Mutex::default(),
         });
         self.members.lock().insert(id, Arc::clone(&connection));
-        Some((connection, replaced))
+        Some(Admitted {
+            connection,
+            replaced,
+        })
     }
 
     /// Closes the connection that has been idle for the longest time, to free its descriptor.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -189,11 +189,11 @@
                         log::warn!("event=outsider_refused address={address}");
                         continue;
                     }
-                    let Some((connection, replaced)) = self.connections(origin).admit() else {
+                    let Some(admitted) = self.connections(origin).admit() else {
                         continue;
                     };
-                    tokio::spawn(Arc::clone(&self).serve(stream, connection, origin));
-                    if let Some(replaced) = replaced {
+                    tokio::spawn(Arc::clone(&self).serve(stream, admitted.connection, origin));
+                    if let Some(replaced) = admitted.replaced {
                         // Its descriptor may be needed for the next one.
                         let _ = timeout(EVICTION_TIME, replaced.wait_until_ended()).await;
                     }
