Let a placement own its engines from the decision on (STARVED)

Cause: the loads of a plan were on the engines before the request received the decision, and nobody owned them in between.

Change: what travels is the placement, which frees its engines when it is dropped, received or not. Decisions are sent after the lock on the queues is released, as CONTRIBUTING asks. Gauges and a log line compare loads with the requests that own them.

--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -8,6 +8,8 @@
 use kernel::name::{Domain, Service};
 use kernel::place::path::Estimate;
 
+use crate::placer::Audit;
+
 /// Counts a request whose response has the status `status`.
 pub(crate) fn count_request(kind: Option<Kind>, status: StatusCode) {
     let kind = kind.map_or("none", kind_name);
@@ -54,6 +56,17 @@
     metrics::counter!("filbertstage_returned_total", "outcome" => outcome).increment(number);
 }
 
+/// Sets the gauges of the requests to which engines of a service are assigned, and of loads that belong
+/// to none.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_placements(audit: &Audit) {
+    let set = |name: &'static str, value: usize| {
+        metrics::gauge!(name, "service" => audit.service.to_string()).set(value as f64);
+    };
+    set("filbertstage_placements", audit.placements);
+    set("filbertstage_unowned_loads", audit.unowned_loads);
+}
+
 /// Counts a claim on engines that lost to another host's claim.
 pub(crate) fn count_lost_claim() {
     metrics::counter!("filbertstage_claims_lost_total").increment(1);
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -1,13 +1,16 @@
 //! Places streams on engines and queues the updates for the other hosts.
 
 mod admission;
+mod audit;
 mod placement;
 mod turns;
 mod updates;
+mod wait;
 
+pub use audit::Audit;
 pub use placement::Placement;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +21,7 @@
 use kernel::name::{Domain, Service};
 use kernel::outlier::Observation;
 use kernel::place::policy::Policy;
-use kernel::place::{Decision, LoadId, Pool, Request, Speed};
+use kernel::place::{LoadId, Pool, Request, Speed};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::sleep;
@@ -29,6 +32,7 @@
 use crate::path::Paths;
 use crate::registry::Registry;
 use crate::transport::Dialer;
+use wait::Verdict;
 
 /// Time within which another host's claim on the same engines arrives: its batch window, the
 /// network latency between failure domains of a region, and one turn of a busy event loop.
@@ -41,7 +45,9 @@
 struct Queue {
     pool: Pool,
     addresses: HashMap<SocketAddr, Identity>,
-    waiters: HashMap<u64, oneshot::Sender<Decision>>,
+    waiters: HashMap<u64, oneshot::Sender<Verdict>>,
+    /// The placements that have not ended.
+    placed: HashSet<LoadId>,
     policy: Policy,
 }
 
@@ -66,24 +72,6 @@
     pub updated: Notify,
 }
 
-/// Cancels a waiting request when its wait is dropped, as when its client disconnects.
-struct CancelOnDrop<'a> {
-    placer: &'a Placer,
-    service: &'a Service,
-    ticket: u64,
-}
-
-impl Drop for CancelOnDrop<'_> {
-    fn drop(&mut self) {
-        let mut queues = self.placer.queues.lock();
-        if let Some(queue) = queues.get_mut(self.service)
-            && queue.waiters.remove(&self.ticket).is_some()
-        {
-            queue.pool.cancel(self.ticket);
-        }
-    }
-}
-
 impl Placer {
     /// Creates a placer without engines. `holder` is the incarnation of this host.
     #[must_use]
@@ -125,28 +113,20 @@
         const UNKNOWN_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(500);
         let arrived = self.clock.now();
         loop {
-            let decision = self.submit(service, request.clone(), arrived).await;
-            let (id, plan, claimed) = match decision {
-                Some(Decision::Start(id, plan)) => (id, plan, false),
-                Some(Decision::Claim(id, plan)) => (id, plan, true),
-                Some(Decision::Refuse(after)) => {
+            let verdict = self.submit(service, request.clone(), arrived).await;
+            let (placement, claimed) = match verdict {
+                Some(Verdict::Placed { placement, claimed }) => (placement, claimed),
+                Some(Verdict::Refused(after)) => {
                     self.count_cold_wait(service, None, arrived);
                     return Err(after);
                 }
                 None => return Err(UNKNOWN_SERVICE_RETRY_AFTER),
             };
-            self.push_start(id, &plan, self.clock.now());
-            let placement = Placement {
-                placer: Arc::clone(self),
-                service: service.clone(),
-                id,
-                plan,
-            };
             if !claimed {
                 return Ok(placement);
             }
             sleep(CLAIM_WINDOW).await;
-            if self.settle_claim(service, id, placement.plan.primary) {
+            if self.settle_claim(service, placement.id, placement.plan.primary) {
                 self.count_cold_wait(service, Some(placement.plan.primary), arrived);
                 return Ok(placement);
             }
@@ -154,51 +134,6 @@
         }
     }
 
-    /// Submits a request to the pool and waits for the decision. Returns `None` if the service has
-    /// no pool or loses it during the wait.
-    async fn submit(
-        &self,
-        service: &Service,
-        request: Request,
-        arrived: Instant,
-    ) -> Option<Decision> {
-        let (guard, receiver) = {
-            let mut queues = self.queues.lock();
-            let queue = queues.get_mut(service)?;
-            let ticket = queue.pool.submit(request, arrived);
-            let (sender, receiver) = oneshot::channel();
-            queue.waiters.insert(ticket, sender);
-            let guard = CancelOnDrop {
-                placer: self,
-                service,
-                ticket,
-            };
-            (guard, receiver)
-        };
-        self.assign_service(service);
-        let decision = receiver.await.ok();
-        drop(guard);
-        decision
-    }
-
-    /// Starts or refuses the waiting requests of all services, as far as this can be decided now.
-    pub fn assign_all(&self) {
-        let now = self.clock.now();
-        let mut queues = self.queues.lock();
-        for queue in queues.values_mut() {
-            self.update_paths(queue);
-            Self::assign(queue, now);
-        }
-    }
-
-    fn assign_service(&self, service: &Service) {
-        let now = self.clock.now();
-        if let Some(queue) = self.queues.lock().get_mut(service) {
-            self.update_paths(queue);
-            Self::assign(queue, now);
-        }
-    }
-
     /// Updates what the choice of engines needs to know of the paths to them.
     fn update_paths(&self, queue: &mut Queue) {
         if queue.pool.waiting() == 0 {
@@ -212,21 +147,6 @@
         queue.pool.set_connected(connected.collect());
     }
 
-    fn assign(queue: &mut Queue, now: Instant) {
-        if queue.pool.waiting() == 0 {
-            return;
-        }
-        let decisions = queue.pool.assign(now);
-        admission::report(&mut queue.pool);
-        for (ticket, decision) in decisions {
-            let waiter = queue.waiters.remove(&ticket);
-            let undelivered = waiter.map(|waiter| waiter.send(decision));
-            if let Some(Err(Decision::Start(id, _) | Decision::Claim(id, _))) = undelivered {
-                queue.pool.release(id);
-            }
-        }
-    }
-
     /// Replaces the services. Services that remain keep their pool and waiting requests.
     pub fn set_services<'a>(&self, profiles: impl Iterator<Item = (&'a Service, &'a Profile)>) {
         let profiles: Vec<_> = profiles.collect();
@@ -241,6 +161,7 @@
                     pool: Pool::new(speed.clone(), self.domain.clone(), self.holder),
                     addresses: HashMap::new(),
                     waiters: HashMap::new(),
+                    placed: HashSet::new(),
                     policy: Policy::default(),
                 },
                 |mut queue| {
@@ -263,7 +184,7 @@
     ///
     /// Engines of evacuated failure domains get nothing new. They stay in their pools, because their
     /// running streams still use them when the domain is taken back.
-    pub fn refresh_engines(&self, registry: &Registry) {
+    pub fn refresh_engines(self: &Arc<Self>, registry: &Registry) {
         {
             // Reads the registry under the lock, so that of two refreshes the later one prevails.
             let mut queues = self.queues.lock();
@@ -352,21 +273,39 @@
         }
     }
 
-    fn finish_prefill(&self, service: &Service, id: LoadId) {
-        let now = self.clock.now();
-        if let Some(queue) = self.queues.lock().get_mut(service) {
+    fn finish_prefill(self: &Arc<Self>, service: &Service, id: LoadId) {
+        let update = Item::Prefilled(id.sequence);
+        self.change_loads(service, update, |queue, now| {
             queue.pool.finish_prefill(id, now);
-            Self::assign(queue, now);
-        }
-        self.push_update(Item::Prefilled(id.sequence));
+        });
     }
 
-    fn release(&self, service: &Service, id: LoadId) {
-        let now = self.clock.now();
-        if let Some(queue) = self.queues.lock().get_mut(service) {
+    fn release(self: &Arc<Self>, service: &Service, id: LoadId) {
+        let update = Item::Done(id.sequence);
+        self.change_loads(service, update, |queue, _| {
+            queue.placed.remove(&id);
             queue.pool.release(id);
-            Self::assign(queue, now);
-        }
-        self.push_update(Item::Done(id.sequence));
+        });
+    }
+
+    /// Changes what this host has on the engines of a service, queues the update that tells the other hosts of it, and starts
+    /// waiting requests that now have room.
+    fn change_loads(
+        self: &Arc<Self>,
+        service: &Service,
+        update: Item,
+        change: impl FnOnce(&mut Queue, Instant),
+    ) {
+        let now = self.clock.now();
+        let deliveries = {
+            let mut queues = self.queues.lock();
+            let queue = queues.get_mut(service);
+            queue.map(|queue| {
+                change(queue, now);
+                self.assign(service, queue, now)
+            })
+        };
+        self.push_update(update);
+        Self::deliver(deliveries.unwrap_or_default(), now);
     }
 }
--- a/crates/relay/src/placer/placement.rs
+++ b/crates/relay/src/placer/placement.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kernel::clock::Instant;
 use kernel::name::Service;
 use kernel::place::{LoadId, Plan};
 
 use super::Placer;
 
 /// A request to which engines are assigned. Dropping it frees the engines.
+///
+/// It exists from the decision on and owns what the decision has put on the engines.
 pub struct Placement {
     pub(super) placer: Arc<Placer>,
     pub(super) service: Service,
@@ -18,6 +21,20 @@
 }
 
 impl Placement {
+    pub(super) fn new(placer: &Arc<Placer>, service: &Service, id: LoadId, plan: Plan) -> Self {
+        Self {
+            placer: Arc::clone(placer),
+            service: service.clone(),
+            id,
+            plan,
+        }
+    }
+
+    /// Tells the other hosts of the engines.
+    pub(super) fn announce(&self, now: Instant) {
+        self.placer.push_start(self.id, &self.plan, now);
+    }
+
     /// Records the first event, which arrived `elapsed` after the request was sent. Must be called
     /// when it arrives.
     pub fn record_first_event(&self, elapsed: Duration) {
--- a/crates/relay/src/placer/updates.rs
+++ b/crates/relay/src/placer/updates.rs
@@ -1,5 +1,7 @@
 //! What the hosts tell each other of their placements.
 
+use std::sync::Arc;
+
 use kernel::catalogue::Identity;
 use kernel::clock::Instant;
 use kernel::place::{LoadId, Plan, Pool};
@@ -47,19 +49,23 @@
     }
 
     /// Applies a frame of another host.
-    pub fn apply_frame(&self, frame: &Placements) {
+    pub fn apply_frame(self: &Arc<Self>, frame: &Placements) {
         let now = self.clock.now();
         let complete = self.completes_snapshot(frame);
-        let mut queues = self.queues.lock();
-        for queue in queues.values_mut() {
-            for item in &frame.items {
-                Self::apply_item(&mut queue.pool, frame, item, now);
-            }
-            if complete {
-                queue.pool.reconcile(frame.holder, frame.snapshot);
+        let mut deliveries = Vec::new();
+        {
+            let mut queues = self.queues.lock();
+            for (service, queue) in queues.iter_mut() {
+                for item in &frame.items {
+                    Self::apply_item(&mut queue.pool, frame, item, now);
+                }
+                if complete {
+                    queue.pool.reconcile(frame.holder, frame.snapshot);
+                }
+                deliveries.extend(self.assign(service, queue, now));
             }
-            Self::assign(queue, now);
         }
+        Self::deliver(deliveries, now);
     }
 
     /// Counts a frame of a snapshot and returns whether it was the last missing one.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -435,6 +435,7 @@
         sleep(SWEEP_INTERVAL).await;
         pipeline.dialer.close_expired(std::time::Instant::now());
         pipeline.paths.publish();
+        pipeline.placer.report_audit();
         telemetry::metrics::run_upkeep();
         let identities: Vec<_> = pipeline.registry.with_directory(|directory| {
             let entries = directory.entries();
