Count a test of a quarantined suspect when it is sent (BUDGET)

Callers would see: a sound request, or prompts with a sound part, refused with 503 for ten minutes at a time until an operator clears them, because the two clients that were to test them left, or found no engine, before they were sent.

Cause: the test was recorded and told to the other hosts when its request was admitted, and nobody owned it until the request was sent. The other hosts cannot be told that it was none.

Change: the request takes the test when it has its connection, where it also draws on the retry budget. Of several admitted requests the first one tests, and the others are refused at once.

In fleets of 4 and 78 hosts whose admitted requests wait up to 500 ms, no more than three reach endpoints later than 3 s after the crashes that count.

--- a/crates/kernel/src/quarantine/mod.rs
+++ b/crates/kernel/src/quarantine/mod.rs
@@ -206,48 +206,64 @@
         reports.any(|report| report.counts_against(suspect))
     }
 
-    /// Decides whether a new request with these suspects may be sent, and returns the evidence to
-    /// share if it tests one of them.
+    /// Decides whether a new request with these suspects may be sent. Nothing is recorded.
     ///
     /// `hold` is the time between two runs of a request on which one endpoint crashed.
-    pub fn admit(
-        &mut self,
-        suspects: &[Suspect],
-        hold: Duration,
-        now: Instant,
-    ) -> (Verdict, Vec<Evidence>) {
+    #[must_use]
+    pub fn assess(&self, suspects: &[Suspect], hold: Duration, now: Instant) -> Verdict {
         let quarantined = suspects.iter().filter_map(|suspect| {
             let entry = self.quarantined.get(suspect)?;
-            Some((*suspect, entry.wait(now)))
+            Some(entry.wait(now))
         });
-        let quarantined: Vec<_> = quarantined.collect();
-        let crashed = suspects.iter().filter_map(|suspect| {
+        let quarantined = quarantined.max();
+        if let Some(wait) = quarantined.filter(|wait| !wait.is_zero()) {
+            return Verdict::Refused(wait);
+        }
+        let pauses = suspects.iter().filter_map(|suspect| {
             let crashed_at = *self.held.get(suspect)?;
             let probe = self.probes.get(suspect);
             let since = probe.map_or(crashed_at, |probe| probe.at.max(crashed_at));
-            Some((*suspect, (since + hold).since(now)))
+            Some((since + hold).since(now))
         });
-        let crashed: Vec<_> = crashed.collect();
-        let longest = |waits: &[(Suspect, Duration)]| waits.iter().map(|(_, wait)| *wait).max();
-        if let Some(wait) = longest(&quarantined).filter(|wait| !wait.is_zero()) {
-            return (Verdict::Refused(wait), self.renew(&quarantined, now));
-        }
-        if let Some(wait) = longest(&crashed).filter(|wait| !wait.is_zero()) {
-            return (Verdict::Held(wait), Vec::new());
+        if let Some(wait) = pauses.max().filter(|wait| !wait.is_zero()) {
+            return Verdict::Held(wait);
         }
-        let verdict = if quarantined.is_empty() {
-            Verdict::Admitted
-        } else {
+        if quarantined.is_some() {
             Verdict::Probe
+        } else {
+            Verdict::Admitted
+        }
+    }
+
+    /// Decides like [`Quarantine::assess`] on a request that is sent at once if it may be, and returns the
+    /// evidence to share if it tests one of the suspects.
+    pub fn admit(
+        &mut self,
+        suspects: &[Suspect],
+        hold: Duration,
+        now: Instant,
+    ) -> (Verdict, Vec<Evidence>) {
+        let verdict = self.assess(suspects, hold, now);
+        let evidence = match verdict {
+            Verdict::Refused(_) => self.renew(suspects, now),
+            Verdict::Held(_) => Vec::new(),
+            Verdict::Admitted | Verdict::Probe => {
+                let suspects = suspects.iter().copied();
+                let tested: Vec<_> = suspects
+                    .filter(|suspect| {
+                        self.quarantined.contains_key(suspect) || self.held.contains_key(suspect)
+                    })
+                    .collect();
+                let probes = tested.into_iter();
+                probes
+                    .map(|suspect| self.start_probe(suspect, now))
+                    .collect()
+            }
         };
-        let tested = quarantined.iter().chain(&crashed);
-        let probes: Vec<_> = tested
-            .map(|(suspect, _)| self.start_probe(*suspect, now))
-            .collect();
         if verdict == Verdict::Probe {
             self.update();
         }
-        (verdict, probes)
+        (verdict, evidence)
     }
 
     fn start_probe(&mut self, suspect: Suspect, now: Instant) -> Evidence {
@@ -268,14 +284,14 @@
 
     /// Keeps the evidence about suspects that are not tested any more for as long as requests for
     /// them come.
-    fn renew(&mut self, quarantined: &[(Suspect, Duration)], now: Instant) -> Vec<Evidence> {
-        let due = quarantined.iter().filter(|(suspect, _)| {
+    fn renew(&mut self, suspects: &[Suspect], now: Instant) -> Vec<Evidence> {
+        let due = suspects.iter().copied().filter(|suspect| {
             let entry = self.quarantined.get(suspect);
             let untested = entry.is_some_and(|entry| entry.probe_due.is_none());
             let probe = self.probes.get(suspect);
             untested && probe.is_none_or(|probe| now.since(probe.at) >= RENEWAL)
         });
-        let due: Vec<_> = due.map(|(suspect, _)| *suspect).collect();
+        let due: Vec<_> = due.collect();
         due.into_iter()
             .map(|suspect| self.start_probe(suspect, now))
             .collect()
--- a/crates/kernel/tests/quarantine_fleet.rs
+++ b/crates/kernel/tests/quarantine_fleet.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use filbertstage_kernel::prelude::*;
 use filbertstage_kernel::quarantine::{Evidence, Quarantine, Suspect, Verdict};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -20,6 +21,15 @@
     arriving: BTreeMap<u64, Vec<(usize, Evidence)>>,
     /// Time until which the first half of the hosts is cut off from the others.
     cut_until: u64,
+    /// Longest time for which an admitted request waits before it is sent, in milliseconds.
+    wait_ms: u64,
+}
+
+/// An admitted request that waits for an endpoint.
+struct Waiting {
+    host: usize,
+    verdict: Verdict,
+    since: u64,
 }
 
 impl Fleet {
@@ -77,14 +87,43 @@
             rng: SmallRng::seed_from_u64(7),
             arriving: BTreeMap::new(),
             cut_until,
+            wait_ms: 0,
         }
     }
 
+    /// Admits a request; one that is to test its suspects does so when it is sent.
+    fn admit(&mut self, host: usize, suspects: &[Suspect], now: u64) -> Verdict {
+        let verdict = self.hosts[host].assess(suspects, HOLD, at(now));
+        if verdict == Verdict::Probe {
+            return verdict;
+        }
+        let (verdict, evidence) = self.hosts[host].admit(suspects, HOLD, at(now));
+        for evidence in evidence {
+            self.broadcast(host, now, &evidence);
+        }
+        verdict
+    }
+
+    /// Returns whether an admitted request may be sent after its wait.
+    fn may_send(&mut self, waiting: &Waiting, suspects: &[Suspect], now: u64) -> bool {
+        let host = &mut self.hosts[waiting.host];
+        if waiting.verdict != Verdict::Probe {
+            let refused = host.recheck(suspects, waiting.verdict, at(waiting.since), at(now));
+            return refused.is_none();
+        }
+        let (verdict, evidence) = host.admit(suspects, Duration::ZERO, at(now));
+        for evidence in evidence {
+            self.broadcast(waiting.host, now, &evidence);
+        }
+        matches!(verdict, Verdict::Admitted | Verdict::Probe)
+    }
+
     /// Sends requests with these suspects for `time_ms`, each to a random host.
     fn play(&mut self, suspects: &[Suspect], request_every_ms: u64, time_ms: u64) -> Outcome {
         /// Time from sending a request to the crash of its endpoint.
         const CRASH_AFTER_MS: u64 = 150;
         let mut crashing: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+        let mut waiting: BTreeMap<u64, Vec<Waiting>> = BTreeMap::new();
         let (mut sent, mut ended) = (Vec::new(), Vec::new());
         for now in 1_000..time_ms {
             for (to, evidence) in self.arriving.remove(&now).unwrap_or_default() {
@@ -101,13 +140,24 @@
             }
             if now.is_multiple_of(request_every_ms) {
                 let host = self.rng.random_range(0..self.hosts.len());
-                let (verdict, evidence) = self.hosts[host].admit(suspects, HOLD, at(now));
-                for evidence in evidence {
-                    self.broadcast(host, now, &evidence);
-                }
+                let verdict = self.admit(host, suspects, now);
                 if matches!(verdict, Verdict::Admitted | Verdict::Probe) {
+                    let wait = match self.wait_ms {
+                        0 => 0,
+                        longest => self.rng.random_range(0..longest),
+                    };
+                    waiting.entry(now + wait).or_default().push(Waiting {
+                        host,
+                        verdict,
+                        since: now,
+                    });
+                }
+            }
+            for request in waiting.remove(&now).unwrap_or_default() {
+                if self.may_send(&request, suspects, now) {
                     sent.push(now);
-                    crashing.entry(now + CRASH_AFTER_MS).or_default().push(host);
+                    let crashing = crashing.entry(now + CRASH_AFTER_MS).or_default();
+                    crashing.push(request.host);
                 }
             }
         }
@@ -168,3 +218,22 @@
         outcome.sent
     );
 }
+
+/// Guards against several hosts that test a suspect, because each of them has admitted a request that
+/// then waited for an endpoint (BUDGET).
+#[rstest]
+#[case::request(&[LETHAL_REQUEST], 3)]
+#[case::segment(&[COMMON, LETHAL], 5)]
+fn few_of_the_requests_that_wait_test_a_suspect(
+    #[case] suspects: &[Suspect],
+    #[case] crashes: usize,
+    #[values(4, 78)] hosts: usize,
+    #[values(100, 500)] wait_ms: u64,
+) {
+    const TIME_MS: u64 = 5 * 60 * 1_000;
+    let mut fleet = Fleet::new(hosts, 0);
+    fleet.wait_ms = wait_ms;
+    let outcome = fleet.play(suspects, 60, TIME_MS);
+    let late = outcome.sent_after_crash(crashes);
+    assert!(late <= 3, "{late} requests are late: {:?}", outcome.sent);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,7 +32,7 @@
 pub mod pipeline;
 pub mod placer;
 mod plain;
-mod quarantine;
+pub mod quarantine;
 mod queue;
 pub mod registry;
 mod relay;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -23,6 +23,7 @@
 use crate::headers::end_to_end;
 use crate::observe;
 use crate::pipeline::Pipeline;
+use crate::quarantine::Admission;
 use crate::transport::Failure;
 
 /// Maximum response size of a plain service, in bytes.
@@ -68,6 +69,21 @@
     }
 }
 
+/// What one send takes once it has a connection.
+#[derive(Clone, Copy)]
+struct Permits<'a> {
+    draw: &'a Draw<'a>,
+    admission: &'a Admission,
+}
+
+impl Permits<'_> {
+    /// Returns whether the call may be sent.
+    fn take(self, pipeline: &Pipeline, accepted: &Accepted) -> bool {
+        let quarantine = &pipeline.quarantine;
+        self.draw.take() && quarantine.begin(accepted.id(), &accepted.suspects, self.admission)
+    }
+}
+
 /// Outcome of one attempt.
 enum Outcome {
     /// A response to forward to the client.
@@ -113,9 +129,9 @@
         if let Some(response) = detoured {
             return response;
         }
-        let admission = match admitted {
+        let admission = match &admitted {
             Ok(admission) => admission,
-            Err(give_up) => break give_up,
+            Err(give_up) => break *give_up,
         };
         let checked = pipeline.quarantine.recheck(&accepted.suspects, admission);
         if let Err(wait) = checked {
@@ -136,10 +152,14 @@
             pipeline,
             accepted,
             &entry,
-            &draw,
+            Permits {
+                draw: &draw,
+                admission,
+            },
             attempts.allowed_after_run(),
         )
         .await;
+        let is_probe = admission.is_probe();
         record_outcome(pipeline, accepted, &entry, &outcome);
         match outcome {
             Outcome::Response(head, body) => {
@@ -165,7 +185,7 @@
             }
             Outcome::NoRoom | Outcome::Uncertain(_) => attempts.record_run(endpoint),
         }
-        if attempts.sent() > 0 && admission.is_probe() {
+        if attempts.sent() > 0 && is_probe {
             // A request that tests what is quarantined is sent once, by this host or another one.
             attempts.exhaust();
         }
@@ -239,7 +259,7 @@
     pipeline: &Arc<Pipeline>,
     accepted: &Accepted,
     entry: &Entry,
-    draw: &Draw<'_>,
+    permits: Permits<'_>,
     retry_allowed: bool,
 ) -> Outcome {
     let _active_call = ActiveCall::start(pipeline, entry.identity());
@@ -267,7 +287,7 @@
         let sending = pipeline
             .dialer
             .send_if(entry.address, id, request, &is_sent, || {
-                !pipeline.registry.is_withheld(entry.identity()) && draw.take()
+                !pipeline.registry.is_withheld(entry.identity()) && permits.take(pipeline, accepted)
             });
         let mut exchange = sending.await?;
         pipeline.paths.record_exchange(&entry.domain, &exchange);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -32,10 +32,15 @@
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The decision on a request, with which it is checked again before it is sent.
-#[derive(Clone, Copy, Debug)]
+///
+/// A request that may test its suspects does not do so before it is sent: it may be given up until
+/// then, and the other hosts, once told of a test, cannot be told otherwise.
+#[derive(Debug)]
 pub struct Admission {
     verdict: Verdict,
     at: Instant,
+    /// Time since which the request is the one that tests its suspects.
+    testing_since: Mutex<Option<Instant>>,
 }
 
 /// Requests that crash endpoints, as known to this host.
@@ -123,14 +128,20 @@
         loop {
             let changed = self.changed.notified();
             let now = self.clock.now();
-            let (verdict, evidence) = self.table.lock().admit(suspects, hold, now);
-            self.share(evidence);
-            match verdict {
-                Verdict::Admitted => {}
-                Verdict::Probe => {
-                    observe::count_quarantine("probe");
-                    log::info!("event=quarantine_probe request={id}");
+            let verdict = {
+                let mut table = self.table.lock();
+                let verdict = table.assess(suspects, hold, now);
+                if verdict == Verdict::Probe {
+                    verdict
+                } else {
+                    let (verdict, evidence) = table.admit(suspects, hold, now);
+                    drop(table);
+                    self.share(evidence);
+                    verdict
                 }
+            };
+            match verdict {
+                Verdict::Admitted | Verdict::Probe => {}
                 Verdict::Held(wait) if now + wait < deadline => {
                     observe::count_quarantine("held");
                     log::info!(
@@ -143,25 +154,69 @@
                 }
                 Verdict::Held(wait) | Verdict::Refused(wait) => return Err(wait),
             }
-            return Ok(Admission { verdict, at: now });
+            return Ok(Admission {
+                verdict,
+                at: now,
+                testing_since: Mutex::default(),
+            });
         }
     }
 
+    /// Takes the test of the suspects for a request that is about to be sent, if it was admitted to
+    /// test them. Returns whether it may be sent.
+    ///
+    /// Of several requests that were admitted, the first one that is sent tests them.
+    #[must_use]
+    pub fn begin(&self, id: &str, suspects: &[Suspect], admission: &Admission) -> bool {
+        if !admission.is_probe() {
+            return true;
+        }
+        let mut testing_since = admission.testing_since.lock();
+        if testing_since.is_some() {
+            return true;
+        }
+        let now = self.clock.now();
+        // It has waited for the time between two runs before.
+        let hold = Duration::ZERO;
+        let (verdict, evidence) = self.table.lock().admit(suspects, hold, now);
+        self.share(evidence);
+        let allowed = matches!(verdict, Verdict::Admitted | Verdict::Probe);
+        if allowed {
+            *testing_since = Some(now);
+            observe::count_quarantine("probe");
+            log::info!("event=quarantine_probe request={id}");
+            self.changed.notify_waiters();
+        }
+        allowed
+    }
+
     /// Checks an admitted request again.
     ///
     /// # Errors
     ///
     /// Returns the time after which the client may retry, if the request must not be sent any more.
-    pub fn recheck(&self, suspects: &[Suspect], admission: Admission) -> Result<(), Duration> {
+    pub fn recheck(&self, suspects: &[Suspect], admission: &Admission) -> Result<(), Duration> {
         let now = self.clock.now();
+        let testing_since = *admission.testing_since.lock();
         let table = self.table.lock();
-        let refused = table.recheck(suspects, admission.verdict, admission.at, now);
+        if admission.is_probe() && testing_since.is_none() {
+            return match table.assess(suspects, Duration::ZERO, now) {
+                Verdict::Refused(wait) => Err(wait),
+                Verdict::Admitted | Verdict::Probe | Verdict::Held(_) => Ok(()),
+            };
+        }
+        let since = testing_since.unwrap_or(admission.at);
+        let refused = table.recheck(suspects, admission.verdict, since, now);
         refused.map_or(Ok(()), Err)
     }
 
     /// Waits until an admitted request must not be sent any more. Returns the time after which the
     /// client may retry.
-    pub async fn wait_until_refused(&self, suspects: &[Suspect], admission: Admission) -> Duration {
+    pub async fn wait_until_refused(
+        &self,
+        suspects: &[Suspect],
+        admission: &Admission,
+    ) -> Duration {
         loop {
             let changed = self.changed.notified();
             if let Err(rest) = self.recheck(suspects, admission) {
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -168,7 +168,7 @@
             let quarantine = &self.pipeline.quarantine;
             let placed = tokio::select! {
                 biased;
-                rest = quarantine.wait_until_refused(suspects, self.admission) => {
+                rest = quarantine.wait_until_refused(suspects, &self.admission) => {
                     quarantine.log_refusal(self.accepted.id(), suspects);
                     Err(GiveUp::Quarantined(rest))
                 }
@@ -271,7 +271,7 @@
         let suspects = &self.accepted.suspects;
         if pipeline
             .quarantine
-            .recheck(suspects, self.admission)
+            .recheck(suspects, &self.admission)
             .is_err()
         {
             // The next attempt is refused before it is placed.
@@ -314,6 +314,9 @@
                     .iter()
                     .any(|engine| pipeline.registry.is_withheld(*engine))
                     && draw.take()
+                    && pipeline
+                        .quarantine
+                        .begin(accepted.id(), suspects, &self.admission)
             });
         let sent = timeout(limit, sending).await;
         let is_unsent = match &sent {
