--- a/crates/kernel/src/place/pool.rs
+++ b/crates/kernel/src/place/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use super::claim::Claims;
@@ -75,7 +76,8 @@
     paths: Arc<Paths>,
     connected: Option<HashSet<Identity>>,
     pub(super) holder: u64,
-    sequence: u32,
+    /// The last sequence number, which may be shared with other pools of this host.
+    sequence: Arc<AtomicU32>,
     pub(super) engines: HashMap<Identity, Engine>,
     /// Failure domains whose engines get nothing new. Their running loads stay.
     evacuated: BTreeSet<Domain>,
@@ -98,7 +100,7 @@
             paths: Arc::new(Paths::new(domain, &Host::from(""))),
             connected: None,
             holder,
-            sequence: 0,
+            sequence: Arc::default(),
             engines: HashMap::new(),
             evacuated: BTreeSet::new(),
             waiting: Vec::new(),
@@ -111,6 +113,14 @@
         }
     }
 
+    /// Shares the sequence numbers of the loads with the other pools of this host, also with earlier
+    /// ones, so that no two requests have the same identifier.
+    #[must_use]
+    pub fn with_sequence(mut self, sequence: Arc<AtomicU32>) -> Self {
+        self.sequence = sequence;
+        self
+    }
+
     /// Replaces the performance model.
     pub fn set_speed(&mut self, speed: Speed) {
         self.speed = speed;
@@ -383,11 +393,11 @@
         (self.speed.profile().slots as usize).saturating_sub(decoding)
     }
 
-    fn next_id(&mut self) -> LoadId {
-        self.sequence = self.sequence.wrapping_add(1);
+    fn next_id(&self) -> LoadId {
+        let last = self.sequence.fetch_add(1, Ordering::Relaxed);
         LoadId {
             holder: self.holder,
-            sequence: self.sequence,
+            sequence: last.wrapping_add(1),
         }
     }
 
--- a/crates/relay/src/placer.rs
+++ b/crates/relay/src/placer.rs
@@ -13,6 +13,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use kernel::catalogue::{Cold, Identity, Profile};
@@ -58,6 +59,8 @@
     paths: Arc<Paths>,
     dialer: Dialer,
     holder: u64,
+    /// The last sequence number of a placement, of any service.
+    sequence: Arc<AtomicU32>,
     queues: Mutex<HashMap<Service, Queue>>,
     updates: Mutex<Vec<Item>>,
     /// Engines at which requests of this host have failed since the last frame.
@@ -88,6 +91,7 @@
             paths,
             dialer,
             holder,
+            sequence: Arc::default(),
             queues: Mutex::default(),
             updates: Mutex::default(),
             failures: Mutex::default(),
@@ -158,7 +162,8 @@
             let speed = Speed::new(profile.clone());
             let queue = previous.remove(service).map_or_else(
                 || Queue {
-                    pool: Pool::new(speed.clone(), self.domain.clone(), self.holder),
+                    pool: Pool::new(speed.clone(), self.domain.clone(), self.holder)
+                        .with_sequence(Arc::clone(&self.sequence)),
                     addresses: HashMap::new(),
                     waiters: HashMap::new(),
                     placed: HashSet::new(),
--- a/crates/relay/tests/placer.rs
+++ b/crates/relay/tests/placer.rs
@@ -146,3 +146,43 @@
         "no engine at the other host"
     );
 }
+
+/// Guards against engines that another request still uses and that count as free, because a service
+/// that was published again gave its placements the identifiers of earlier ones.
+#[test]
+fn placements_of_a_service_that_returns_are_told_apart() {
+    let runtime = runtime();
+    let _context = runtime.enter();
+    let clock = Clock::default();
+    let registry = registry(clock, &[service()], 1);
+    let (placer, now) = (placer(clock, 1, 1), clock.now());
+    let earlier = run(&runtime, &placer, SHORT, now);
+    placer.set_services(std::iter::empty());
+    placer.set_services([(&service(), &profile())].into_iter());
+    placer.refresh_engines(&registry);
+    let later = run(&runtime, &placer, SHORT, now);
+    drop(earlier);
+    assert_eq!(placer.placements().len(), 1, "the later request runs");
+    drop(later);
+    assert!(placer.placements().is_empty());
+}
+
+/// Guards against engines that other hosts take for free, because a request to another service with
+/// the same number has ended.
+#[test]
+fn placements_of_two_services_are_told_apart() {
+    let runtime = runtime();
+    let _context = runtime.enter();
+    let clock = Clock::default();
+    let services = [Service::from("writer"), Service::from("planner")];
+    let placer = placer_of(clock, 1, &services, 1);
+    let now = clock.now();
+    let run_at = |service: &Service| {
+        let placing = placer.place(service, request(SHORT, now));
+        runtime.block_on(placing).expect("a free engine")
+    };
+    let (writer, planner) = (run_at(&services[0]), run_at(&services[1]));
+    drop(writer);
+    assert_eq!(heard(&placer.take_updates()).len(), 1);
+    drop(planner);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -62,34 +62,46 @@
     Service::from("writer")
 }
 
-/// Returns a placer with `engines` engines of one service.
-pub fn placer(clock: Clock, holder: u64, engines: u32) -> Arc<Placer> {
-    let domain = Domain::from("cannock");
-    let paths = Arc::new(Paths::new(clock, domain.clone(), &Host::from("edge-1")));
-    let placer = Placer::new(clock, domain.clone(), paths, Dialer::default(), holder);
-    let (service, profile) = (service(), profile());
-    placer.set_services([(&service, &profile)].into_iter());
+/// Returns a registry with `engines` engines of each service.
+pub fn registry(clock: Clock, services: &[Service], engines: u32) -> Registry {
     let registry = Registry::new(Duration::from_secs(3));
     registry.with_directory(|directory| {
-        for index in 0..engines {
-            let entry = Entry {
-                name: Endpoint::from(format!("engine-{index}")),
-                started_ms: 1,
-                service: service.clone(),
-                address: ([127, 0, 0, 1], 1).into(),
-                domain: domain.clone(),
-                slots: 16,
-                state: State::Ready,
-                cold: None,
-            };
-            directory.put(entry, clock.now());
+        for service in services {
+            for index in 0..engines {
+                let entry = Entry {
+                    name: Endpoint::from(format!("{service}-{index}")),
+                    started_ms: 1,
+                    service: service.clone(),
+                    address: ([127, 0, 0, 1], 1).into(),
+                    domain: Domain::from("cannock"),
+                    slots: 16,
+                    state: State::Ready,
+                    cold: None,
+                };
+                directory.put(entry, clock.now());
+            }
         }
     });
+    registry
+}
+
+/// Returns a placer with `engines` engines of each service.
+pub fn placer_of(clock: Clock, holder: u64, services: &[Service], engines: u32) -> Arc<Placer> {
+    let domain = Domain::from("cannock");
+    let paths = Arc::new(Paths::new(clock, domain.clone(), &Host::from("edge-1")));
+    let placer = Placer::new(clock, domain, paths, Dialer::default(), holder);
+    let profile = profile();
+    placer.set_services(services.iter().map(|service| (service, &profile)));
     let placer = Arc::new(placer);
-    placer.refresh_engines(&registry);
+    placer.refresh_engines(&registry(clock, services, engines));
     placer
 }
 
+/// Returns a placer with `engines` engines of one service.
+pub fn placer(clock: Clock, holder: u64, engines: u32) -> Arc<Placer> {
+    placer_of(clock, holder, &[service()], engines)
+}
+
 /// Returns a request that waits up to ten seconds for an engine.
 pub fn request(prompt_tokens: u64, now: Instant) -> Request {
     Request {
