--- a/crates/fakes/src/site/endpoint.rs
+++ b/crates/fakes/src/site/endpoint.rs
@@ -124,6 +124,11 @@
         self.state.lock().faults.push(fault);
     }
 
+    /// Drops the faults that have not affected a request yet.
+    pub fn clear_faults(&self) {
+        self.state.lock().faults.clear();
+    }
+
     /// Sets the failure domain in the endpoint's next entry.
     pub fn set_domain(&self, domain: &'static str) {
         self.state.lock().domain = Some(domain);
--- a/crates/kernel/src/detour.rs
+++ b/crates/kernel/src/detour.rs
@@ -2,6 +2,12 @@
 //!
 //! If a host reaches none of several endpoints, in different failure domains where there are some,
 //! its own link is at fault and not the endpoints. Other hosts may still reach them.
+//!
+//! Endpoints may be dead for reasons of their own, and many at once. So those that answered lately are
+//! probed before others (see [`sample`]), connections that requests open count as probes, and a host
+//! that no other one can help goes on to try its own link.
+
+mod sample;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,12 +15,17 @@
 use crate::clock::Instant;
 use crate::name::Host;
 
+pub use sample::{Probed, sample};
+
 /// Number of endpoints that are probed in one round.
 pub const ROUND: usize = 4;
 /// Rounds of probes in a row that reach no endpoint after which the host counts as cut off.
 const FAILED_ROUNDS: u32 = 2;
-/// Rounds in a row that reach most endpoints after which the link counts as restored.
+/// Rounds in a row that reach an endpoint after which the link counts as restored.
 const GOOD_ROUNDS: u32 = 2;
+/// Time between two requests that try the links of a host that is cut off and has no helper. The others
+/// are refused at once.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two rounds after one that reached an endpoint, however many requests fail.
 const REACHED_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two rounds while the host is cut off. [`GOOD_ROUNDS`] at this interval take longer
@@ -51,6 +62,10 @@
     good_rounds: u32,
     /// First failed send since the last round that reached an endpoint.
     suspected: Option<Instant>,
+    /// Since when the host is cut off.
+    lost: Option<Instant>,
+    /// Time of the last request that tried the links of a host without a helper.
+    tried: Option<Instant>,
     restored: Option<Instant>,
 }
 
@@ -100,19 +115,11 @@
             return Finding::Unchanged;
         }
         if self.is_cut {
-            self.good_rounds = if reached * 2 > probed {
-                self.good_rounds + 1
-            } else {
-                0
-            };
+            self.good_rounds = if reached > 0 { self.good_rounds + 1 } else { 0 };
             if self.good_rounds < GOOD_ROUNDS {
                 return Finding::Unchanged;
             }
-            *self = Self {
-                restored: Some(now),
-                ..Self::default()
-            };
-            return Finding::Restored;
+            return self.restore(now);
         }
         if reached > 0 {
             self.failed_rounds = 0;
@@ -127,11 +134,47 @@
         let since = self.suspected.unwrap_or(now);
         *self = Self {
             is_cut: true,
+            lost: Some(now),
             ..Self::default()
         };
         Finding::Lost(since)
     }
 
+    fn restore(&mut self, now: Instant) -> Finding {
+        *self = Self {
+            restored: Some(now),
+            ..Self::default()
+        };
+        Finding::Restored
+    }
+
+    /// Records that an endpoint answered a request on a connection that was opened for it. The request
+    /// was sent at `sent_at`.
+    ///
+    /// This shows more than probes that failed since then: the link works.
+    pub fn record_answer(&mut self, sent_at: Instant, now: Instant) -> Finding {
+        if self.lost.is_some_and(|lost| sent_at >= lost) {
+            return self.restore(now);
+        }
+        if self.suspected.is_some_and(|since| sent_at >= since) {
+            self.suspected = None;
+            self.failed_rounds = 0;
+        }
+        Finding::Unchanged
+    }
+
+    /// Whether a request may try the links although the host is cut off, because no other host reaches
+    /// the endpoints either. All hosts can be wrong at once.
+    pub fn may_try(&mut self, now: Instant) -> bool {
+        let is_due = self
+            .tried
+            .is_none_or(|tried| now.since(tried) >= TRIAL_INTERVAL);
+        if is_due {
+            self.tried = Some(now);
+        }
+        is_due
+    }
+
     /// Whether a request goes to another host. After a cut, the share of requests that use the own
     /// link grows from none to all; `draw` is a random number of the request from 0 to 1.
     #[must_use]
@@ -216,6 +259,14 @@
         peer.borrower = borrows.then_some(holder);
     }
 
+    /// Whether any of the candidates has stated that it reaches endpoints.
+    pub fn has_helper(&self, mut candidates: impl Iterator<Item = Candidate>) -> bool {
+        candidates.any(|candidate| {
+            let peer = self.peers.get(&candidate.host);
+            peer.is_some_and(|peer| peer.reaches && peer.holder == Some(candidate.holder))
+        })
+    }
+
     /// Whether any of the candidates has stated whether it reaches endpoints. If none has, there is
     /// no way around a lost link, and a host goes on to try its own.
     pub fn has_statement(&self, mut candidates: impl Iterator<Item = Candidate>) -> bool {
--- a/crates/relay/src/accepted.rs
+++ b/crates/relay/src/accepted.rs
@@ -62,6 +62,8 @@
     pub deadline: Instant,
     /// Estimate of how long the client has waited before this attempt.
     pub prior_wait: Duration,
+    /// Whether the request tries the links of this host although it is cut off.
+    pub tries_links: bool,
 }
 
 impl Accepted {
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,6 +1,6 @@
 //! Watches whether this host reaches the endpoints, and knows which other hosts do.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,9 +8,9 @@
 
 use futures_util::future::join_all;
 use kernel::balance::Balancer;
-use kernel::catalogue::Entry;
+use kernel::catalogue::{Entry, Identity};
 use kernel::clock::Instant;
-use kernel::detour::{self, Finding, Peers};
+use kernel::detour::{self, Finding, Peers, Probed};
 use kernel::name::Domain;
 use kernel::outlier::DOMAIN_PROBES;
 use parking_lot::Mutex;
@@ -63,6 +63,10 @@
     suspected: Notify,
     /// Failure domains whose endpoints owe answers or could not be reached.
     doubted: Mutex<BTreeSet<Domain>>,
+    /// When endpoints last answered this host.
+    answered: Mutex<HashMap<Identity, Instant>>,
+    /// Endpoints that were probed since the last round that reached one.
+    tried: Mutex<BTreeSet<Identity>>,
     schedule: Mutex<Schedule>,
     /// The other hosts that serve requests of this one.
     pub peers: Mutex<Peers>,
@@ -122,6 +126,8 @@
             is_listening,
             suspected: Notify::new(),
             doubted: Mutex::default(),
+            answered: Mutex::default(),
+            tried: Mutex::default(),
             schedule: Mutex::new(Schedule {
                 repeat_until: clock.now() + REPEATED,
                 sent_at: None,
@@ -180,8 +186,8 @@
     async fn probe_domains(&self) {
         let doubted = self.doubted.lock().clone();
         let probes = doubted.iter().map(|domain| async move {
-            let addresses = self.choose(DOMAIN_PROBES, |entry| entry.domain == *domain);
-            let (reached, probed) = self.probe_all(&addresses).await;
+            let chosen = self.choose(DOMAIN_PROBES, |entry| entry.domain == *domain);
+            let (reached, probed) = self.probe_all(&chosen).await;
             (domain, reached, probed)
         });
         for (domain, reached, probed) in join_all(probes).await {
@@ -202,8 +208,8 @@
     /// Whether this host reaches an endpoint other than the one at `except`, or there is none.
     pub async fn reaches_other(&self, except: SocketAddr) -> bool {
         for size in [1, detour::ROUND] {
-            let addresses = self.choose(size, |entry| entry.address != except);
-            let (reached, probed) = self.probe_all(&addresses).await;
+            let chosen = self.choose(size, |entry| entry.address != except);
+            let (reached, probed) = self.probe_all(&chosen).await;
             if reached > 0 || probed == 0 {
                 return true;
             }
@@ -227,62 +233,118 @@
     /// Probes endpoints once; returns whether another round is needed at once.
     async fn run_round(&self, hosts: &Hosts) -> bool {
         let size = self.link.lock().round_size();
-        let (reached, probed) = self.probe_all(&self.choose(size, |_| true)).await;
+        let chosen = self.choose(size, |_| true);
+        let (reached, probed) = self.probe_all(&chosen).await;
         observe::count_probes(probed);
+        {
+            let mut tried = self.tried.lock();
+            if reached > 0 {
+                tried.clear();
+            } else {
+                tried.extend(chosen.iter().map(|(identity, _)| *identity));
+            }
+        }
         let now = self.clock.now();
         let finding = self.link.lock().record_round(reached, probed, now);
-        let (event, is_cut) = match finding {
+        match finding {
             Finding::Unclear => return true,
-            Finding::Unchanged => {
-                self.state.send_modify(|_| {});
-                return false;
-            }
-            Finding::Lost(since) => {
-                // Failures of the own link say nothing about the endpoints.
-                self.balancer.lock().forgive(since);
-                self.placer.forgive(since);
-                ("links_lost", true)
+            Finding::Unchanged => self.state.send_modify(|_| {}),
+            Finding::Lost(_) | Finding::Restored => {
+                self.change(finding, reached, probed);
+                self.announce(hosts);
             }
-            Finding::Restored => ("links_restored", false),
+        }
+        false
+    }
+
+    /// Records that the host is cut off or reaches endpoints again.
+    fn change(&self, finding: Finding, reached: usize, probed: usize) {
+        let is_cut = matches!(finding, Finding::Lost(_));
+        if let Finding::Lost(since) = finding {
+            // Failures of the own link say nothing about the endpoints.
+            self.balancer.lock().forgive(since);
+            self.placer.forgive(since);
+        }
+        let event = if is_cut {
+            "links_lost"
+        } else {
+            "links_restored"
         };
         log::warn!("event={event} reached={reached} probed={probed}");
         observe::set_gauge("filbertstage_cut_off", u64::from(is_cut));
         self.state.send_replace(State { is_cut });
-        self.announce(hosts);
-        false
+    }
+
+    /// Records that an endpoint answered a request that was sent at `sent_at`. With `was_opened`, a
+    /// connection was opened for it, which shows as much as a probe.
+    pub fn record_answer(&self, endpoint: Identity, was_opened: bool, sent_at: Instant) {
+        let now = self.clock.now();
+        self.answered.lock().insert(endpoint, now);
+        if !was_opened {
+            return;
+        }
+        let finding = self.link.lock().record_answer(sent_at, now);
+        if finding == Finding::Restored {
+            self.change(finding, 1, 1);
+            // The next snapshots tell the other hosts.
+            self.schedule.lock().repeat_until = now + REPEATED;
+        }
+    }
+
+    /// Whether a request may try the links now, although the host is cut off. See
+    /// [`detour::Link::may_try`].
+    pub fn may_try(&self) -> bool {
+        let now = self.clock.now();
+        self.link.lock().may_try(now)
+    }
+
+    /// Forgets the answers of endpoints for which `keep` returns false.
+    pub fn retain(&self, keep: impl Fn(Identity) -> bool) {
+        self.answered.lock().retain(|identity, _| keep(*identity));
     }
 
     /// Probes endpoints at the same time; returns how many were reached, and how many probed.
-    async fn probe_all(&self, addresses: &[SocketAddr]) -> (usize, usize) {
-        let probes = addresses.iter().map(|address| self.dialer.probe(*address));
+    async fn probe_all(&self, endpoints: &[(Identity, SocketAddr)]) -> (usize, usize) {
+        let probes = endpoints.iter().map(|(identity, address)| async move {
+            let reached = self.dialer.probe(*address).await == Reachability::Accepts;
+            if reached {
+                let now = self.clock.now();
+                self.answered.lock().insert(*identity, now);
+            }
+            reached
+        });
         let results = join_all(probes).await;
-        let accepts = |result: &&Reachability| **result == Reachability::Accepts;
-        (results.iter().filter(accepts).count(), results.len())
+        let reached = results.iter().filter(|reached| **reached).count();
+        (reached, results.len())
     }
 
-    /// Chooses up to `size` of the endpoints that `fits` at random, from as many failure domains as
-    /// possible.
-    fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<SocketAddr> {
-        let mut endpoints: Vec<_> = self.registry.with_directory(|directory| {
-            let entries = directory.entries();
-            entries
-                .filter(|entry| fits(entry))
-                .map(|entry| (entry.domain.clone(), entry.address))
-                .collect()
-        });
-        endpoints.shuffle(&mut SmallRng::from_os_rng());
-        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
-        let mut ranked: Vec<_> = endpoints
-            .into_iter()
-            .map(|(domain, address)| {
-                let count = counts.entry(domain).or_default();
-                *count += 1;
-                (*count, address)
-            })
-            .collect();
-        ranked.sort_by_key(|(rank, _)| *rank);
-        let chosen = ranked.into_iter().take(size);
-        chosen.map(|(_, address)| address).collect()
+    /// Chooses up to `size` of the endpoints in use that `fits`. See [`detour::sample`].
+    fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<(Identity, SocketAddr)> {
+        let mut entries = self.registry.in_use();
+        entries.retain(fits);
+        entries.shuffle(&mut SmallRng::from_os_rng());
+        let endpoints: Vec<_> = {
+            let answered = self.answered.lock();
+            let endpoints = entries.iter().map(|entry| {
+                let identity = entry.identity();
+                Probed {
+                    identity,
+                    domain: entry.domain.clone(),
+                    answered: answered.get(&identity).copied(),
+                }
+            });
+            endpoints.collect()
+        };
+        let chosen = detour::sample(&endpoints, size, &self.tried.lock());
+        let find = |identity| {
+            endpoints
+                .iter()
+                .position(|known| known.identity == identity)
+        };
+        let indexes = chosen.into_iter().filter_map(find);
+        indexes
+            .map(|index| (endpoints[index].identity, entries[index].address))
+            .collect()
     }
 
     /// Tells the other hosts that this one leaves and serves no more requests of theirs.
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -35,7 +35,7 @@
 use crate::placer::Placer;
 use crate::quarantine::{Admission, Quarantine};
 use crate::registry::Registry;
-use crate::transport::Dialer;
+use crate::transport::{Dialer, Exchange};
 use crate::{detour, loan, observe, plain, stream};
 
 /// `Retry-After` while the host has no configuration yet, or the route names no service.
@@ -109,6 +109,14 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
+    /// Records that an endpoint has sent the head of a response to a request that was sent at `sent_at`.
+    pub(crate) fn record_answer(&self, entry: &Entry, exchange: &Exchange, sent_at: Instant) {
+        self.paths.record_exchange(&entry.domain, exchange);
+        let was_opened = exchange.opening().is_some();
+        self.links
+            .record_answer(entry.identity(), was_opened, sent_at);
+    }
+
     /// Estimates how long a client that still waits for `remaining` has waited before this attempt.
     /// What another host passes on tells nothing of its client.
     fn prior_wait(&self, route: &Route, remaining: Duration, origin: Origin) -> Duration {
@@ -172,8 +180,22 @@
     }
 
     fn has_way_around(&self, accepted: &Accepted) -> bool {
-        let candidates = self.hosts.candidates();
-        accepted.origin == Origin::Client && self.links.peers.lock().has_statement(candidates)
+        if accepted.origin != Origin::Client {
+            return false;
+        }
+        let peers = self.links.peers.lock();
+        let is_refused = !accepted.tries_links && peers.has_statement(self.hosts.candidates());
+        is_refused || peers.has_helper(self.hosts.candidates())
+    }
+
+    /// Whether a request tries the links of this host, which is cut off, because all other hosts state that
+    /// they are as well.
+    fn may_try_links(&self) -> bool {
+        if !self.links.is_cut() {
+            return false;
+        }
+        let has_helper = self.links.peers.lock().has_helper(self.hosts.candidates());
+        !has_helper && self.links.may_try()
     }
 
     /// Records that another host could not be reached or broke a request off.
@@ -296,9 +318,10 @@
 
 async fn serve(
     pipeline: Arc<Pipeline>,
-    accepted: Accepted,
+    mut accepted: Accepted,
     attempts: &mut Attempts,
 ) -> Response<Body> {
+    accepted.tries_links = pipeline.may_try_links();
     if !accepted.is_counted() {
         pipeline.budgets.deposit(&accepted.service);
     }
@@ -409,6 +432,7 @@
         arrived,
         deadline: arrived + timeout,
         prior_wait,
+        tries_links: false,
         route,
     })
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -144,22 +144,35 @@
         entry.is_some_and(|entry| evacuated.contains(&entry.domain))
     }
 
-    /// Returns the identity of the endpoint at `address`.
+    /// Returns the identity of the endpoint of a service at `address`.
     #[must_use]
-    pub fn endpoint_at(&self, address: SocketAddr) -> Option<Identity> {
+    pub fn endpoint_at(&self, service: &Service, address: SocketAddr) -> Option<Identity> {
         let directory = self.directory.lock();
         let mut entries = directory.entries();
-        let entry = entries.find(|entry| entry.address == address)?;
+        let entry = entries.find(|entry| entry.service == *service && entry.address == address)?;
         Some(entry.identity())
     }
 
+    /// Returns the endpoints of the services that the configuration names. The store may have entries
+    /// of others, which say nothing about this host.
+    #[must_use]
+    pub fn in_use(&self) -> Vec<Entry> {
+        let Some(configuration) = self.configuration() else {
+            return Vec::new();
+        };
+        let directory = self.directory.lock();
+        let entries = directory.entries();
+        entries
+            .filter(|entry| configuration.services.contains_key(&entry.service))
+            .cloned()
+            .collect()
+    }
+
     /// Whether the host can serve: a configuration is in force, the evacuations were read from the
-    /// store and an endpoint is registered.
+    /// store and an endpoint of one of its services is registered.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.version() > 0
-            && self.evacuations.lock().is_read()
-            && self.directory.lock().entries().next().is_some()
+        self.evacuations.lock().is_read() && !self.in_use().is_empty()
     }
 
     /// Waits until the host can serve, for at most `limit`.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -441,6 +441,9 @@
             let entries = directory.entries();
             entries.map(kernel::catalogue::Entry::identity).collect()
         });
+        pipeline
+            .links
+            .retain(|identity| identities.contains(&identity));
         let mut balancer = pipeline.balancer.lock();
         balancer.retain(|identity| identities.contains(&identity));
     }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -331,9 +331,7 @@
             Ok(Ok(exchange)) => {
                 self.pipeline
                     .handle_notice(&engine, &exchange.head, sent_at);
-                self.pipeline
-                    .paths
-                    .record_exchange(&engine.domain, &exchange);
+                self.pipeline.record_answer(&engine, &exchange, sent_at);
                 self.check_head(exchange, placement, engine, reservations, sent_at)
                     .await
             }
@@ -421,8 +419,8 @@
                 return Err(None);
             }
             ResponseClass::NotRun(at_fault) => {
-                let named =
-                    at_fault.and_then(|address| self.pipeline.registry.endpoint_at(address));
+                let (registry, service) = (&self.pipeline.registry, &self.accepted.service);
+                let named = at_fault.and_then(|address| registry.endpoint_at(service, address));
                 self.log_send(&engine, "not_run", &exchange.describe());
                 let at_fault = named.unwrap_or_else(|| engine.identity());
                 self.attempts.record_rejected(at_fault);
