Return retries that are dropped before they are sent (BUDGET)

Callers would see: a retry that is refused although the budget has some left, for a window of the budget, after clients have left in the moment between the withdrawal of theirs and the send.

Cause: the retry was returned by a call after the send, which a dropped request does not reach.

Change: the draw itself returns it when it is dropped, unless a part of the request may have been sent. The tests of the budget mark what they send as sent; what they ask is unchanged.

Measured on x86-64: retries_that_are_dropped_before_they_are_sent_use_no_budget failed before (the third of ten was refused).

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use kernel::clock::Instant;
@@ -76,6 +77,7 @@
             service,
             request,
             state: Mutex::new(State::Prepared),
+            is_sent: AtomicBool::new(false),
         };
         if !self.update(service, |budget| budget.has_left(division, now)) {
             draw.log("withheld", division);
@@ -92,6 +94,7 @@
             service,
             request,
             state: Mutex::new(State::Free),
+            is_sent: AtomicBool::new(false),
         }
     }
 }
@@ -109,13 +112,23 @@
 /// What one send draws on the retry budget of its service.
 ///
 /// It is withdrawn when the send has a connection: opening one takes a while and may fail, and retries
-/// count when they arrive.
+/// count when they arrive. If it is dropped before a part of the request may have been sent, it returns
+/// the retry to the budget.
 #[derive(Debug)]
 pub struct Draw<'a> {
     budgets: &'a Budgets,
     service: &'a Service,
     request: &'a str,
     state: Mutex<State>,
+    is_sent: AtomicBool,
+}
+
+impl Drop for Draw<'_> {
+    fn drop(&mut self) {
+        if !*self.is_sent.get_mut() {
+            self.refund();
+        }
+    }
 }
 
 impl Draw<'_> {
@@ -136,6 +149,15 @@
         allowed
     }
 
+    /// Returns the flag that is set while a part of the request may have been sent. See
+    /// [`Dialer::send_if`].
+    ///
+    /// [`Dialer::send_if`]: crate::transport::Dialer::send_if
+    #[must_use]
+    pub const fn sent_flag(&self) -> &AtomicBool {
+        &self.is_sent
+    }
+
     /// Returns the retry to the budget if it was withdrawn, because nothing was sent.
     pub fn refund(&self) {
         let mut state = self.state.lock();
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -5,7 +5,7 @@
 //! [`kernel::loan`]), and never sends such a request on.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use buffer::Limits;
@@ -279,12 +279,12 @@
         let remaining = accepted.deadline.since(pipeline.clock.now());
         accepted.detoured(&*pipeline.dialect, remaining, resume_after, loan)
     };
-    let is_sent = AtomicBool::new(false);
+    let is_sent = draw.sent_flag();
     let id = accepted.metadata.id.as_deref();
     let exchange = async {
         let sending = pipeline
             .dialer
-            .send_if(address, id, request, &is_sent, || draw.take());
+            .send_if(address, id, request, is_sent, || draw.take());
         let mut exchange = sending.await?;
         let report = loan::take_report(&mut exchange.head.headers);
         let head = &exchange.head;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,7 +1,7 @@
 //! Forwards calls to plain services, which return one complete response.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use buffer::Limits;
@@ -281,12 +281,12 @@
     } else {
         remaining
     };
-    let is_sent = AtomicBool::new(false);
+    let is_sent = permits.draw.sent_flag();
     let id = accepted.metadata.id.as_deref();
     let exchange = async {
         let sending = pipeline
             .dialer
-            .send_if(entry.address, id, request, &is_sent, || {
+            .send_if(entry.address, id, request, is_sent, || {
                 !pipeline.registry.is_withheld(entry.identity()) && permits.take(pipeline, accepted)
             });
         let mut exchange = sending.await?;
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -4,7 +4,7 @@
 mod outcome;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -305,11 +305,11 @@
         };
         let helping = placement.plan.helpers.iter().map(|part| part.engine);
         let used: Vec<_> = helping.chain([engine.identity()]).collect();
-        let is_sent = AtomicBool::new(false);
+        let is_sent = draw.sent_flag();
         let id = accepted.metadata.id.as_deref();
         let sending = pipeline
             .dialer
-            .send_if(engine.address, id, request, &is_sent, || {
+            .send_if(engine.address, id, request, is_sent, || {
                 !used
                     .iter()
                     .any(|engine| pipeline.registry.is_withheld(*engine))
@@ -324,9 +324,8 @@
             Ok(Err(_)) => true,
             Err(_) => !is_sent.load(Ordering::Relaxed),
         };
-        if is_unsent {
-            draw.refund();
-        }
+        // Returns the retry to the budget unless the request may have been sent.
+        drop(draw);
         match sent {
             Ok(Ok(exchange)) => {
                 self.pipeline
--- a/crates/relay/src/transport/mod.rs
+++ b/crates/relay/src/transport/mod.rs
@@ -171,8 +171,7 @@
     ///
     /// The request has the identifier `id`, which tells it from all others on its connection.
     ///
-    /// Sets `is_sent` as soon as a part of the request may have been sent, for callers that stop
-    /// waiting.
+    /// Sets `is_sent` while a part of the request may have been sent, for callers that stop waiting.
     ///
     /// # Errors
     ///
@@ -219,7 +218,10 @@
                 ..exchange
             })
             .map_err(|error| match error {
-                SendError::Unsent(reason) => Failure::Unsent(reason),
+                SendError::Unsent(reason) => {
+                    is_sent.store(false, Ordering::Relaxed);
+                    Failure::Unsent(reason)
+                }
                 SendError::Uncertain(reason) => Failure::Uncertain(reason),
             })
     }
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -1,6 +1,7 @@
 //! The retry budget of one host.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use filbertstage_relay::budget::{Budgets, Draw};
 use filbertstage_relay::clock::Clock;
@@ -22,9 +23,15 @@
     Budgets::new(&retry, Arc::new(Mutex::new(fleet)), clock)
 }
 
+/// Takes a retry and sends it; returns whether that was allowed.
+fn send(draw: &Draw<'_>) -> bool {
+    draw.sent_flag().store(true, Ordering::Relaxed);
+    draw.take()
+}
+
 /// Number of retries that can be sent.
 fn count_left(budgets: &Budgets, service: &Service) -> usize {
-    let draws = std::iter::from_fn(|| budgets.prepare(service, "left").filter(Draw::take));
+    let draws = std::iter::from_fn(|| budgets.prepare(service, "left").filter(send));
     draws.take(10).count()
 }
 
@@ -68,3 +75,15 @@
     let sent = prepared.iter().filter(|draw| draw.take()).count();
     assert_eq!(sent, RETRIES);
 }
+
+/// Guards against callers that are refused a retry because clients left between the withdrawal of
+/// theirs and the send.
+#[test]
+fn retries_that_are_dropped_before_they_are_sent_use_no_budget() {
+    let (budgets, service) = (budgets(), Service::from("desk"));
+    for _ in 0..10 {
+        let draw = budgets.prepare(&service, "left").expect("some left");
+        assert!(draw.take());
+    }
+    assert_eq!(count_left(&budgets, &service), RETRIES);
+}
