Test that callers which leave a node together take no engines with them

Eight callers leave together at 25 moments, half of them at a node that does not own the pool; then both nodes must serve a short prompt.

--- a/bin/filbertctl/tests/suite/serving.rs
+++ b/bin/filbertctl/tests/suite/serving.rs
@@ -139,6 +139,38 @@
     assert_eq!(reply.end, End::Whole, "{}", reply.error);
 }
 
+/// Guards against engines that stay granted to prompts whose callers left together, while these waited
+/// at the owner of the pool or at another node (incident 22).
+#[tokio::test]
+async fn callers_that_leave_together_take_no_engines_with_them() {
+    const CALLERS: u64 = 8;
+    const MOMENTS: u64 = 25;
+    /// Time in which the engine of the test serves a short prompt, with room for a busy machine.
+    const SERVED_WITHIN: Duration = Duration::from_secs(3);
+    let fleet = single_domain(2, 1).await;
+    let addresses = fleet.caller_addresses();
+    let key = fleet::workspace_key(0);
+    for moment in 0..MOMENTS {
+        let prompts: Vec<_> = (0..CALLERS)
+            .map(|caller| scenario::prompt(30_000, moment * CALLERS + caller))
+            .collect();
+        let completions = prompts.iter().enumerate().map(|(caller, prompt)| {
+            caller::complete(addresses[caller % addresses.len()], request(&key, prompt))
+        });
+        let leaving = Duration::from_millis(moment * 5);
+        // The connections of those that have not ended close together.
+        let _ = tokio::time::timeout(leaving, futures_util::future::join_all(completions)).await;
+        let prompt = scenario::prompt(1_000, moment);
+        for address in addresses.iter() {
+            let reply = caller::complete(*address, request(&key, &prompt));
+            let reply = tokio::time::timeout(SERVED_WITHIN, reply).await;
+            let reply = reply.unwrap_or_else(|_| panic!("not served after {leaving:?}"));
+            assert_eq!(reply.end, End::Whole, "after {leaving:?}: {}", reply.error);
+        }
+    }
+    eventually("freeing", || fleet.kv_used() == 0).await;
+}
+
 #[tokio::test]
 async fn request_that_cannot_meet_its_deadline_is_refused_early_with_retry_after() {
     let fleet = single_domain(1, 1).await;
