Draw probes of the links at random among endpoints that have answered

Cause: probes went first to the endpoints that answered last, which are those of the service that is still reached; answers on new connections, and rounds that reached any endpoint, had the same effect. So a host without links to engines never asked for help.

Change: probes are drawn at random as before, of configured services, and only from endpoints that have answered this host if there are any.

--- a/crates/kernel/src/detour.rs
+++ b/crates/kernel/src/detour.rs
@@ -3,11 +3,8 @@
 //! If a host reaches none of several endpoints, in different failure domains where there are some,
 //! its own link is at fault and not the endpoints. Other hosts may still reach them.
 //!
-//! Endpoints may be dead for reasons of their own, and many at once. So those that answered lately are
-//! probed before others (see [`sample`]), connections that requests open count as probes, and a host
-//! that no other one can help goes on to try its own link.
-
-mod sample;
+//! Endpoints may be dead for reasons of their own, and many at once, so that hosts can be wrong about
+//! their links. A host that no other one can help therefore goes on to try its own.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,13 +12,11 @@
 use crate::clock::Instant;
 use crate::name::Host;
 
-pub use sample::{Probed, sample};
-
 /// Number of endpoints that are probed in one round.
 pub const ROUND: usize = 4;
 /// Rounds of probes in a row that reach no endpoint after which the host counts as cut off.
 const FAILED_ROUNDS: u32 = 2;
-/// Rounds in a row that reach an endpoint after which the link counts as restored.
+/// Rounds in a row that reach most endpoints after which the link counts as restored.
 const GOOD_ROUNDS: u32 = 2;
 /// Time between two requests that try the links of a host that is cut off and has no helper. The others
 /// are refused at once.
@@ -62,8 +57,6 @@
     good_rounds: u32,
     /// First failed send since the last round that reached an endpoint.
     suspected: Option<Instant>,
-    /// Since when the host is cut off.
-    lost: Option<Instant>,
     /// Time of the last request that tried the links of a host without a helper.
     tried: Option<Instant>,
     restored: Option<Instant>,
@@ -115,7 +108,11 @@
             return Finding::Unchanged;
         }
         if self.is_cut {
-            self.good_rounds = if reached > 0 { self.good_rounds + 1 } else { 0 };
+            self.good_rounds = if reached * 2 > probed {
+                self.good_rounds + 1
+            } else {
+                0
+            };
             if self.good_rounds < GOOD_ROUNDS {
                 return Finding::Unchanged;
             }
@@ -134,7 +131,6 @@
         let since = self.suspected.unwrap_or(now);
         *self = Self {
             is_cut: true,
-            lost: Some(now),
             ..Self::default()
         };
         Finding::Lost(since)
@@ -148,19 +144,14 @@
         Finding::Restored
     }
 
-    /// Records that an endpoint answered a request on a connection that was opened for it. The request
-    /// was sent at `sent_at`.
-    ///
-    /// This shows more than probes that failed since then: the link works.
-    pub fn record_answer(&mut self, sent_at: Instant, now: Instant) -> Finding {
-        if self.lost.is_some_and(|lost| sent_at >= lost) {
-            return self.restore(now);
-        }
-        if self.suspected.is_some_and(|since| sent_at >= since) {
-            self.suspected = None;
-            self.failed_rounds = 0;
+    /// Records that an endpoint answered a request that tried the links; returns whether the host was cut
+    /// off until then. See [`Link::may_try`].
+    pub fn record_trial(&mut self, now: Instant) -> bool {
+        let was_cut = self.is_cut;
+        if was_cut {
+            self.restore(now);
         }
-        Finding::Unchanged
+        was_cut
     }
 
     /// Whether a request may try the links although the host is cut off, because no other host reaches
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,6 +1,6 @@
 //! Watches whether this host reaches the endpoints, and knows which other hosts do.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,7 +10,7 @@
 use kernel::balance::Balancer;
 use kernel::catalogue::{Entry, Identity};
 use kernel::clock::Instant;
-use kernel::detour::{self, Finding, Peers, Probed};
+use kernel::detour::{self, Finding, Peers};
 use kernel::name::Domain;
 use kernel::outlier::DOMAIN_PROBES;
 use parking_lot::Mutex;
@@ -42,6 +42,13 @@
     is_cut: bool,
 }
 
+/// An endpoint that is probed.
+struct Probed {
+    identity: Identity,
+    address: SocketAddr,
+    has_answered: bool,
+}
+
 /// When the statement of this host is sent.
 struct Schedule {
     repeat_until: Instant,
@@ -63,10 +70,8 @@
     suspected: Notify,
     /// Failure domains whose endpoints owe answers or could not be reached.
     doubted: Mutex<BTreeSet<Domain>>,
-    /// When endpoints last answered this host.
-    answered: Mutex<HashMap<Identity, Instant>>,
-    /// Endpoints that were probed since the last round that reached one.
-    tried: Mutex<BTreeSet<Identity>>,
+    /// Endpoints that have answered this host or accepted a probe.
+    answered: Mutex<HashSet<Identity>>,
     schedule: Mutex<Schedule>,
     /// The other hosts that serve requests of this one.
     pub peers: Mutex<Peers>,
@@ -127,7 +132,6 @@
             suspected: Notify::new(),
             doubted: Mutex::default(),
             answered: Mutex::default(),
-            tried: Mutex::default(),
             schedule: Mutex::new(Schedule {
                 repeat_until: clock.now() + REPEATED,
                 sent_at: None,
@@ -233,17 +237,13 @@
     /// Probes endpoints once; returns whether another round is needed at once.
     async fn run_round(&self, hosts: &Hosts) -> bool {
         let size = self.link.lock().round_size();
-        let chosen = self.choose(size, |_| true);
+        let mut chosen = self.choose(size, |_| true);
+        if chosen.iter().any(|endpoint| endpoint.has_answered) {
+            // The others may never have been sound.
+            chosen.retain(|endpoint| endpoint.has_answered);
+        }
         let (reached, probed) = self.probe_all(&chosen).await;
         observe::count_probes(probed);
-        {
-            let mut tried = self.tried.lock();
-            if reached > 0 {
-                tried.clear();
-            } else {
-                tried.extend(chosen.iter().map(|(identity, _)| *identity));
-            }
-        }
         let now = self.clock.now();
         let finding = self.link.lock().record_round(reached, probed, now);
         match finding {
@@ -275,17 +275,13 @@
         self.state.send_replace(State { is_cut });
     }
 
-    /// Records that an endpoint answered a request that was sent at `sent_at`. With `was_opened`, a
-    /// connection was opened for it, which shows as much as a probe.
-    pub fn record_answer(&self, endpoint: Identity, was_opened: bool, sent_at: Instant) {
+    /// Records that an endpoint has answered. With `is_trial`, the request tried the links, which are
+    /// restored.
+    pub fn record_answer(&self, endpoint: Identity, is_trial: bool) {
         let now = self.clock.now();
-        self.answered.lock().insert(endpoint, now);
-        if !was_opened {
-            return;
-        }
-        let finding = self.link.lock().record_answer(sent_at, now);
-        if finding == Finding::Restored {
-            self.change(finding, 1, 1);
+        self.answered.lock().insert(endpoint);
+        if is_trial && self.link.lock().record_trial(now) {
+            self.change(Finding::Restored, 1, 1);
             // The next snapshots tell the other hosts.
             self.schedule.lock().repeat_until = now + REPEATED;
         }
@@ -300,16 +296,15 @@
 
     /// Forgets the answers of endpoints for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(Identity) -> bool) {
-        self.answered.lock().retain(|identity, _| keep(*identity));
+        self.answered.lock().retain(|identity| keep(*identity));
     }
 
     /// Probes endpoints at the same time; returns how many were reached, and how many probed.
-    async fn probe_all(&self, endpoints: &[(Identity, SocketAddr)]) -> (usize, usize) {
-        let probes = endpoints.iter().map(|(identity, address)| async move {
-            let reached = self.dialer.probe(*address).await == Reachability::Accepts;
+    async fn probe_all(&self, endpoints: &[Probed]) -> (usize, usize) {
+        let probes = endpoints.iter().map(|endpoint| async move {
+            let reached = self.dialer.probe(endpoint.address).await == Reachability::Accepts;
             if reached {
-                let now = self.clock.now();
-                self.answered.lock().insert(*identity, now);
+                self.answered.lock().insert(endpoint.identity);
             }
             reached
         });
@@ -318,33 +313,32 @@
         (reached, results.len())
     }
 
-    /// Chooses up to `size` of the endpoints in use that `fits`. See [`detour::sample`].
-    fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<(Identity, SocketAddr)> {
+    /// Chooses up to `size` of the endpoints in use that `fits` at random, from as many failure domains as
+    /// possible. Those that have answered this host come before the others.
+    fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<Probed> {
         let mut entries = self.registry.in_use();
         entries.retain(fits);
         entries.shuffle(&mut SmallRng::from_os_rng());
-        let endpoints: Vec<_> = {
-            let answered = self.answered.lock();
-            let endpoints = entries.iter().map(|entry| {
+        let answered = self.answered.lock();
+        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+        let mut ranked: Vec<_> = entries
+            .iter()
+            .map(|entry| {
                 let identity = entry.identity();
-                Probed {
+                let has_answered = answered.contains(&identity);
+                let count = counts.entry((has_answered, &entry.domain)).or_default();
+                *count += 1;
+                let endpoint = Probed {
                     identity,
-                    domain: entry.domain.clone(),
-                    answered: answered.get(&identity).copied(),
-                }
-            });
-            endpoints.collect()
-        };
-        let chosen = detour::sample(&endpoints, size, &self.tried.lock());
-        let find = |identity| {
-            endpoints
-                .iter()
-                .position(|known| known.identity == identity)
-        };
-        let indexes = chosen.into_iter().filter_map(find);
-        indexes
-            .map(|index| (endpoints[index].identity, entries[index].address))
-            .collect()
+                    address: entry.address,
+                    has_answered,
+                };
+                ((!has_answered, *count), endpoint)
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let chosen = ranked.into_iter().take(size);
+        chosen.map(|(_, endpoint)| endpoint).collect()
     }
 
     /// Tells the other hosts that this one leaves and serves no more requests of theirs.
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -109,12 +109,11 @@
         self.notices.apply(entry, notice, sent_at);
     }
 
-    /// Records that an endpoint has sent the head of a response to a request that was sent at `sent_at`.
-    pub(crate) fn record_answer(&self, entry: &Entry, exchange: &Exchange, sent_at: Instant) {
+    /// Records that an endpoint has sent the head of the response to a request.
+    pub(crate) fn record_answer(&self, accepted: &Accepted, entry: &Entry, exchange: &Exchange) {
         self.paths.record_exchange(&entry.domain, exchange);
-        let was_opened = exchange.opening().is_some();
         self.links
-            .record_answer(entry.identity(), was_opened, sent_at);
+            .record_answer(entry.identity(), accepted.tries_links);
     }
 
     /// Estimates how long a client that still waits for `remaining` has waited before this attempt.
@@ -183,18 +182,20 @@
         if accepted.origin != Origin::Client {
             return false;
         }
+        let candidates: Vec<_> = self.hosts.candidates().collect();
         let peers = self.links.peers.lock();
-        let is_refused = !accepted.tries_links && peers.has_statement(self.hosts.candidates());
-        is_refused || peers.has_helper(self.hosts.candidates())
+        let is_refused = !accepted.tries_links && peers.has_statement(candidates.iter().cloned());
+        is_refused || peers.has_helper(candidates.into_iter())
     }
 
-    /// Whether a request tries the links of this host, which is cut off, because all other hosts state that
-    /// they are as well.
-    fn may_try_links(&self) -> bool {
-        if !self.links.is_cut() {
+    /// Whether a client's request tries the links of this host, which is cut off, because no other host
+    /// states that it reaches endpoints.
+    fn may_try_links(&self, accepted: &Accepted) -> bool {
+        if accepted.origin != Origin::Client || !self.links.is_cut() {
             return false;
         }
-        let has_helper = self.links.peers.lock().has_helper(self.hosts.candidates());
+        let candidates = self.hosts.candidates();
+        let has_helper = self.links.peers.lock().has_helper(candidates);
         !has_helper && self.links.may_try()
     }
 
@@ -321,7 +322,7 @@
     mut accepted: Accepted,
     attempts: &mut Attempts,
 ) -> Response<Body> {
-    accepted.tries_links = pipeline.may_try_links();
+    accepted.tries_links = pipeline.may_try_links(&accepted);
     if !accepted.is_counted() {
         pipeline.budgets.deposit(&accepted.service);
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -290,7 +290,7 @@
                 !pipeline.registry.is_withheld(entry.identity()) && permits.take(pipeline, accepted)
             });
         let mut exchange = sending.await?;
-        pipeline.record_answer(entry, &exchange, sent_at);
+        pipeline.record_answer(accepted, entry, &exchange);
         let head = &exchange.head;
         pipeline.handle_notice(entry, head, sent_at);
         let class = pipeline.dialect.classify_response(
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -172,7 +172,11 @@
     /// store and an endpoint of one of its services is registered.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.evacuations.lock().is_read() && !self.in_use().is_empty()
+        let Some(configuration) = self.configuration() else {
+            return false;
+        };
+        let is_in_use = |entry: &Entry| configuration.services.contains_key(&entry.service);
+        self.evacuations.lock().is_read() && self.directory.lock().entries().any(is_in_use)
     }
 
     /// Waits until the host can serve, for at most `limit`.
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -330,7 +330,8 @@
             Ok(Ok(exchange)) => {
                 self.pipeline
                     .handle_notice(&engine, &exchange.head, sent_at);
-                self.pipeline.record_answer(&engine, &exchange, sent_at);
+                self.pipeline
+                    .record_answer(&self.accepted, &engine, &exchange);
                 self.check_head(exchange, placement, engine, reservations, sent_at)
                     .await
             }
