Probe endpoints that have not answered beside one that has

Cause: a host has been answered by most plain endpoints and by some of the engines. Drawn from these alone, probes reach a plain endpoint more often, and the host finds later that it reaches no engine.

Change: probes are drawn from all endpoints of configured services, at least one of which has answered this host if any has. A host that is cut off draws only such ones, since dead ones would keep it from its links.

--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -46,7 +46,6 @@
 struct Probed {
     identity: Identity,
     address: SocketAddr,
-    has_answered: bool,
 }
 
 /// When the statement of this host is sent.
@@ -237,10 +236,14 @@
     /// Probes endpoints once; returns whether another round is needed at once.
     async fn run_round(&self, hosts: &Hosts) -> bool {
         let size = self.link.lock().round_size();
-        let mut chosen = self.choose(size, |_| true);
-        if chosen.iter().any(|endpoint| endpoint.has_answered) {
-            // The others may never have been sound.
-            chosen.retain(|endpoint| endpoint.has_answered);
+        let mut chosen = Vec::new();
+        if self.is_cut() {
+            // Others may never have been sound, and would keep the host from its links.
+            let answered = self.answered.lock().clone();
+            chosen = self.choose(size, |entry| answered.contains(&entry.identity()));
+        }
+        if chosen.is_empty() {
+            chosen = self.choose(size, |_| true);
         }
         let (reached, probed) = self.probe_all(&chosen).await;
         observe::count_probes(probed);
@@ -314,31 +317,37 @@
     }
 
     /// Chooses up to `size` of the endpoints in use that `fits` at random, from as many failure domains as
-    /// possible. Those that have answered this host come before the others.
+    /// possible. If some of them have answered this host, at least one of these is chosen: the others may
+    /// never have been sound.
     fn choose(&self, size: usize, fits: impl Fn(&Entry) -> bool) -> Vec<Probed> {
         let mut entries = self.registry.in_use();
         entries.retain(fits);
         entries.shuffle(&mut SmallRng::from_os_rng());
-        let answered = self.answered.lock();
         let mut counts: BTreeMap<_, usize> = BTreeMap::new();
         let mut ranked: Vec<_> = entries
             .iter()
             .map(|entry| {
-                let identity = entry.identity();
-                let has_answered = answered.contains(&identity);
-                let count = counts.entry((has_answered, &entry.domain)).or_default();
+                let count = counts.entry(&entry.domain).or_default();
                 *count += 1;
                 let endpoint = Probed {
-                    identity,
+                    identity: entry.identity(),
                     address: entry.address,
-                    has_answered,
                 };
-                ((!has_answered, *count), endpoint)
+                (*count, endpoint)
             })
             .collect();
         ranked.sort_by_key(|(rank, _)| *rank);
-        let chosen = ranked.into_iter().take(size);
-        chosen.map(|(_, endpoint)| endpoint).collect()
+        let mut chosen: Vec<_> = ranked.into_iter().map(|(_, endpoint)| endpoint).collect();
+        let answered = self.answered.lock();
+        let has_answered = |endpoint: &Probed| answered.contains(&endpoint.identity);
+        if let Some(first) = chosen.iter().position(has_answered)
+            && first >= size
+            && size > 0
+        {
+            chosen.swap(first, size - 1);
+        }
+        chosen.truncate(size);
+        chosen
     }
 
     /// Tells the other hosts that this one leaves and serves no more requests of theirs.
